--- /dev/null
+++ b/coordination/claimer/claimer.go
@@ -0,0 +1,85 @@
+// Package claimer decides which shards an instance claims.
+//
+// A claim has no duration and is never renewed. It ends when its holder
+// departs or releases the shard, both by records in the log, so that a fleet at
+// rest appends nothing.
+package claimer
+
+import (
+	"hash/fnv"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/applier"
+)
+
+// Eligible decides whether a member may get more shards.
+type Eligible func(crocushollow.Member) bool
+
+// Claims returns the claims that an instance should publish: those of vacant
+// shards for which it ranks first among the eligible members.
+func Claims(state *applier.State, self crocushollow.Life, eligible Eligible) []crocushollow.Claim {
+	candidates := eligibleMembers(state, eligible)
+	var claims []crocushollow.Claim
+	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
+		if !state.IsVacant(shard) || Preferred(shard, candidates) != self {
+			continue
+		}
+		claims = append(claims, crocushollow.Claim{
+			Shard:   shard,
+			Holder:  self,
+			Follows: state.Holding(shard).Term,
+		})
+	}
+	return claims
+}
+
+// Releases returns the records that hand back every shard an instance holds.
+func Releases(state *applier.State, self crocushollow.Life) []crocushollow.Claim {
+	var releases []crocushollow.Claim
+	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
+		if state.IsHolder(self, shard) {
+			releases = append(releases, crocushollow.Claim{
+				Shard:   shard,
+				Holder:  self,
+				Follows: state.Holding(shard).Term,
+			})
+		}
+	}
+	return releases
+}
+
+func eligibleMembers(state *applier.State, eligible Eligible) []crocushollow.Member {
+	var members []crocushollow.Member
+	for _, member := range state.Members() {
+		if !member.Draining && eligible(member) {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// Preferred returns the member that ranks first for a shard, by rendezvous
+// hashing (Thaler and Ravishankar, 1998), or no member if there is none.
+func Preferred(shard crocushollow.Shard, members []crocushollow.Member) crocushollow.Life {
+	var best crocushollow.Life
+	var bestScore uint64
+	for _, member := range members {
+		if score := score(shard, member.ID); best.IsZero() || score > bestScore {
+			best, bestScore = member.Life(), score
+		}
+	}
+	return best
+}
+
+func score(shard crocushollow.Shard, id string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte{byte(shard), byte(shard >> 8)})
+	_, _ = hash.Write([]byte(id))
+	// FNV-1a spreads its last bytes poorly over the high bits; the finalizer
+	// of MurmurHash3 mixes them.
+	h := hash.Sum64()
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	return h
+}
--- /dev/null
+++ b/coordination/controller/exchange.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/sharer"
+	"github.com/crocushollow/crocushollow/state/limiter"
+)
+
+// wants gathers what requests lack of limits until the control goroutine takes
+// it. It is safe for concurrent use.
+type wants struct {
+	mu         sync.Mutex
+	shortfalls map[limiter.ResourceKey]float64
+	decided    map[limiter.ResourceKey]chan struct{}
+	// signal has one element while shortfalls wait.
+	signal chan struct{}
+}
+
+func newWants() *wants {
+	return &wants{
+		shortfalls: make(map[limiter.ResourceKey]float64),
+		decided:    make(map[limiter.ResourceKey]chan struct{}),
+		signal:     make(chan struct{}, 1),
+	}
+}
+
+// Want asks the owner of a limit for more of it. The channel is closed when
+// the owner has decided.
+func (c *Controller) Want(key limiter.ResourceKey, shortfall float64) <-chan struct{} {
+	w := c.wants
+	w.mu.Lock()
+	w.shortfalls[key] += shortfall
+	decided, found := w.decided[key]
+	if !found {
+		decided = make(chan struct{})
+		w.decided[key] = decided
+	}
+	w.mu.Unlock()
+	select {
+	case w.signal <- struct{}{}:
+	default:
+	}
+	return decided
+}
+
+func (w *wants) take() map[limiter.ResourceKey]float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	taken := w.shortfalls
+	w.shortfalls = make(map[limiter.ResourceKey]float64)
+	return taken
+}
+
+func (w *wants) decide(keys []limiter.ResourceKey) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range keys {
+		if decided, found := w.decided[key]; found {
+			close(decided)
+			delete(w.decided, key)
+		}
+	}
+}
+
+func (c *Controller) takeWants(now time.Time) {
+	for key, shortfall := range c.wants.take() {
+		c.holder.Want(key, shortfall)
+	}
+	c.send(c.holder.PollUrgent(c.state(), now), now)
+}
+
+// send delivers exchanges. Those to this instance itself are answered at once.
+func (c *Controller) send(envelopes []sharer.Envelope, now time.Time) {
+	for _, envelope := range envelopes {
+		if envelope.To.Life() == c.self.Life() {
+			c.accept(c.owner.Handle(envelope.Exchange, now), now)
+			continue
+		}
+		c.start(c.config.Timing.CallTimeout, func(ctx context.Context) event {
+			reply, err := c.config.Peers.Exchange(ctx, envelope.To, envelope.Exchange)
+			if err != nil {
+				return nil
+			}
+			return exchangeAnswered{from: envelope.Exchange.From, reply: reply}
+		})
+	}
+}
+
+type exchangeAnswered struct {
+	from  crocushollow.Life
+	reply sharer.ExchangeReply
+}
+
+func (e exchangeAnswered) apply(c *Controller) {
+	if e.from == c.self.Life() {
+		c.accept(e.reply, time.Now())
+		c.send(c.holder.PollUrgent(c.state(), time.Now()), time.Now())
+	}
+}
+
+func (c *Controller) accept(reply sharer.ExchangeReply, now time.Time) {
+	decided := c.holder.Accept(reply, now)
+	if len(decided) == 0 {
+		return
+	}
+	c.wants.decide(decided)
+	c.config.Changed()
+}
+
+// HandleExchange answers an exchange as the owner of its shards.
+func (c *Controller) HandleExchange(ctx context.Context, exchange sharer.Exchange) (sharer.ExchangeReply, error) {
+	e := exchangeAsked{exchange: exchange, answer: make(chan sharer.ExchangeReply, 1)}
+	return ask(ctx, c, e.answer, e)
+}
+
+type exchangeAsked struct {
+	exchange sharer.Exchange
+	answer   chan sharer.ExchangeReply
+}
+
+func (e exchangeAsked) apply(c *Controller) { e.answer <- c.owner.Handle(e.exchange, time.Now()) }
+
+// followRows applies changed rows to the parts in use.
+func (c *Controller) followRows(now time.Time) {
+	table := c.state().Table()
+	for key, part := range c.config.Parts.Parts {
+		resource, found := limiter.ResourceOf(table, key, c.config.Detector)
+		if !found {
+			c.config.Parts.Remove(key)
+			continue
+		}
+		if bucket, isBucket := part.(*limiter.Bucket); isBucket {
+			bucket.SetRate(resource.Rate, now)
+		}
+	}
+	c.config.Detector.Forget(func(id string) bool {
+		_, found := table.Upstream(id)
+		return found
+	})
+}
--- /dev/null
+++ b/coordination/controller/log.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/claimer"
+	"github.com/crocushollow/crocushollow/coordination/follower"
+	"github.com/crocushollow/crocushollow/state/applier"
+)
+
+// sink lets the log reader deliver to the controller.
+type sink Controller
+
+// Position implements follower.Sink.
+func (s *sink) Position(ctx context.Context) (follower.Position, error) {
+	e := positionAsked{answer: make(chan follower.Position, 1)}
+	return ask(ctx, (*Controller)(s), e.answer, e)
+}
+
+// Deliver implements follower.Sink.
+func (s *sink) Deliver(ctx context.Context, askedAt time.Time, segment follower.Segment) error {
+	e := segmentRead{askedAt: askedAt, segment: segment, answer: make(chan struct{}, 1)}
+	_, err := ask(ctx, (*Controller)(s), e.answer, e)
+	return err
+}
+
+type positionAsked struct {
+	answer chan follower.Position
+}
+
+func (e positionAsked) apply(c *Controller) {
+	e.answer <- follower.Position{Offset: c.replayer.Next(), Wanted: c.readsLog(time.Now())}
+}
+
+// readsLog reports whether the instance reads the log itself: it is one of the
+// readers of its availability zone, not a member yet, or no peer is fresh.
+func (c *Controller) readsLog(now time.Time) bool {
+	if !c.state().IsJoined(c.self.Life()) || c.tracker.LogAge(now) > c.config.Timing.Lease*3/4 {
+		return true
+	}
+	rank := 0
+	for _, member := range c.state().Members() {
+		if member.ID == c.self.ID {
+			break
+		}
+		if member.AvailabilityZone == c.self.AvailabilityZone {
+			rank++
+		}
+	}
+	return rank < c.config.LogReaders
+}
+
+type segmentRead struct {
+	askedAt time.Time
+	segment follower.Segment
+	answer  chan struct{}
+}
+
+func (e segmentRead) apply(c *Controller) {
+	c.replay(e.segment.Entries)
+	switch head := e.segment.Head; {
+	case head == c.state().Offset():
+		c.tracker.NoteFresh(e.askedAt)
+	case head < c.state().Offset():
+		c.restoreLog(head)
+	}
+	c.waiters.settle(c.state(), time.Now(), c.tracker.LogAge(time.Now()))
+	c.publishView()
+	e.answer <- struct{}{}
+}
+
+// replay applies entries and tells everyone who waits for them.
+func (c *Controller) replay(entries []follower.Entry) {
+	before := c.state()
+	for _, applied := range c.replayer.Replay(entries) {
+		c.waiters.deliver(applied.Results)
+		c.logEdits(applied.Results)
+		if len(applied.Results) > 0 {
+			c.config.Edited(applied.Results)
+		}
+		for _, record := range applied.Batch.Records {
+			if record.Snapshot != nil {
+				c.rounds.snapshot = time.Now()
+			}
+		}
+	}
+	if c.state() != before {
+		c.stateChanged(before)
+	}
+}
+
+// stateChanged lets every part of the control state follow.
+func (c *Controller) stateChanged(before *applier.State) {
+	now := time.Now()
+	if c.state().IsDeparted(c.self.Life()) && !c.drain.active {
+		c.config.Logger.Warn().Str("instance", c.self.ID).
+			Msg("declared departed by another instance; joining again with a new incarnation")
+		c.begin()
+	}
+	c.tracker.Update(c.state(), now)
+	c.owner.Update(c.state(), now)
+	if c.state().Table() != before.Table() {
+		c.followRows(now)
+	}
+	c.maintainMembership(now)
+	c.maintainClaims(now)
+	c.send(c.holder.Poll(c.state(), now), now)
+}
+
+func (c *Controller) logEdits(results []crocushollow.EditResult) {
+	for _, result := range results {
+		entry := c.config.Logger.Info()
+		if result.Err != nil {
+			entry = c.config.Logger.Warn().Err(result.Err)
+		}
+		entry.Str("row", result.Edit.Ref.String()).Str("author", result.Edit.Author).
+			Uint64("offset", result.Offset).Bool("delete", result.Edit.Delete).Msg("edit applied")
+	}
+}
+
+// restoreLog appends the entries again that the platform's log has lost, so
+// that the history every instance has applied stays in force. One instance does
+// so, and the others wait for it.
+func (c *Controller) restoreLog(head uint64) {
+	members := c.state().Members()
+	if claimer.Preferred(crocushollow.PlannerShard, members) != c.self.Life() || c.placement.restoring {
+		return
+	}
+	entries, err := c.replayer.Tail(head)
+	if err != nil || len(entries) == 0 {
+		c.config.Logger.Error().Uint64("head", head).Uint64("applied", c.state().Offset()).
+			Msg("the log has lost entries that are no longer kept")
+		return
+	}
+	c.placement.restoring = true
+	c.config.Logger.Error().Uint64("head", head).Uint64("applied", c.state().Offset()).
+		Msg("the log has lost entries; appending them again")
+	c.start(publishTimeout, func(ctx context.Context) event {
+		err := c.config.Publisher.Restore(ctx, entries[0].Data)
+		return logRestored{err: err}
+	})
+}
+
+type logRestored struct {
+	err error
+}
+
+func (e logRestored) apply(c *Controller) {
+	c.placement.restoring = false
+	if e.err != nil {
+		c.config.Logger.Warn().Err(e.err).Msg("appending a lost entry again failed")
+	}
+}
+
+// snapshotTail is the number of entries after which a snapshot is worth it.
+const snapshotTail = 32
+
+// maintainSnapshot writes a snapshot into the log before its retention passes.
+func (c *Controller) maintainSnapshot(now time.Time) {
+	if c.rounds.snapshot.IsZero() {
+		c.rounds.snapshot = now
+	}
+	due := now.Sub(c.rounds.snapshot) >= c.config.Timing.SnapshotInterval
+	isWriter := c.state().IsHolder(c.self.Life(), crocushollow.PlannerShard)
+	if !due || !isWriter || c.drain.active || c.state().Offset() < snapshotTail {
+		return
+	}
+	c.rounds.snapshot = now
+	state, self := c.state(), c.self.Life()
+	c.start(publishTimeout, func(ctx context.Context) event {
+		if err := c.publishSnapshot(ctx, state, self); err != nil {
+			c.config.Logger.Warn().Err(err).Msg("snapshot not written")
+		}
+		return nil
+	})
+}
+
+func (c *Controller) publishSnapshot(ctx context.Context, state *applier.State, self crocushollow.Life) error {
+	parts, err := state.Split()
+	if err != nil {
+		return err
+	}
+	for i := range parts {
+		record := crocushollow.Record{ID: crocushollow.NewID(), Author: self, Snapshot: &parts[i]}
+		if err := c.config.Publisher.Publish(ctx, record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/controller/placement.go
@@ -0,0 +1,358 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/applier"
+	"github.com/crocushollow/crocushollow/state/detector"
+	"github.com/crocushollow/crocushollow/state/limiter"
+	"github.com/crocushollow/crocushollow/state/placer"
+	"github.com/crocushollow/crocushollow/state/reserver"
+)
+
+// placement is the control state of engines and the weights on them.
+type placement struct {
+	// hosts holds the engines whose shards this instance holds.
+	hosts map[string]*hosted
+	// hostsOf is the state that hosts were found in.
+	hostsOf *applier.State
+	// demand is the latest demand of each member, by instance.
+	demand map[string]demandReport
+	// restoring is true while a lost entry of the log is appended again.
+	restoring bool
+	// planning is true while targets are being published.
+	planning bool
+}
+
+// demandReport is a member's demand and when it came.
+type demandReport struct {
+	demand placer.Demand
+	at     time.Time
+}
+
+// hosted is an engine that this instance watches and orders.
+type hosted struct {
+	upstream   crocushollow.Upstream
+	term       uint64
+	ledger     *reserver.Ledger
+	askedAt    time.Time
+	asking     bool
+	publishing bool
+	// loads holds the labels of the loads that use the weight store.
+	loads map[string]bool
+}
+
+func newPlacement() placement {
+	return placement{hosts: make(map[string]*hosted), demand: make(map[string]demandReport)}
+}
+
+// maintainPlacement watches the engines that fall to this instance and, as the
+// planner, decides what they should hold.
+func (c *Controller) maintainPlacement(now time.Time) {
+	if now.Before(c.tracker.AssuredUntil()) && !c.drain.active {
+		c.watchEngines(now)
+	}
+	if now.Sub(c.rounds.plan) >= c.config.Timing.PlanInterval {
+		c.rounds.plan = now
+		c.shareDemand(now)
+		c.plan(now)
+	}
+}
+
+func (c *Controller) watchEngines(now time.Time) {
+	if c.placement.hostsOf != c.state() {
+		c.placement.hostsOf = c.state()
+		c.findHosts()
+	}
+	for _, host := range c.placement.hosts {
+		if !host.asking && now.Sub(host.askedAt) >= c.config.Timing.ReportInterval {
+			c.askReport(host.upstream, host, now)
+		}
+	}
+}
+
+// findHosts follows a new state in which engines this instance watches.
+func (c *Controller) findHosts() {
+	held := make(map[string]bool)
+	for _, upstream := range c.state().Table().Upstreams() {
+		shard := crocushollow.ShardOf(upstream.ID)
+		if upstream.Kind != crocushollow.EngineUpstream || !c.state().IsHolder(c.self.Life(), shard) {
+			continue
+		}
+		held[upstream.ID] = true
+		c.host(upstream, c.state().Holding(shard).Term)
+	}
+	for id, host := range c.placement.hosts {
+		if !held[id] {
+			c.releaseLoads(host, nil)
+			delete(c.placement.hosts, id)
+		}
+	}
+}
+
+func (c *Controller) host(upstream crocushollow.Upstream, term uint64) {
+	host, found := c.placement.hosts[upstream.ID]
+	if !found || host.term != term {
+		host = &hosted{term: term, ledger: reserver.New(), loads: make(map[string]bool)}
+		c.placement.hosts[upstream.ID] = host
+	}
+	host.upstream = upstream
+}
+
+func (c *Controller) askReport(upstream crocushollow.Upstream, host *hosted, now time.Time) {
+	host.asking, host.askedAt = true, now
+	c.start(c.config.Timing.CallTimeout, func(ctx context.Context) event {
+		report, err := c.config.Engines.Report(ctx, upstream)
+		return engineReported{upstream: upstream, term: host.term, askedAt: now, report: report, err: err}
+	})
+}
+
+type engineReported struct {
+	upstream crocushollow.Upstream
+	term     uint64
+	askedAt  time.Time
+	report   crocushollow.EngineReport
+	err      error
+}
+
+func (e engineReported) apply(c *Controller) {
+	host, found := c.placement.hosts[e.upstream.ID]
+	if !found || host.term != e.term {
+		return
+	}
+	host.asking = false
+	if e.err != nil {
+		return
+	}
+	host.ledger.Reported(e.report, e.askedAt)
+	c.config.Detector.Reported(e.upstream.ID, detector.Status{
+		Incarnation: e.report.Incarnation,
+		Cold:        e.report.Cold,
+		InFlight:    e.report.InFlight,
+	})
+	c.orderEngine(e.upstream.ID, host, time.Now())
+}
+
+// orderEngine takes the next step for an engine. Right before each order the
+// instance checks that it is still assured.
+func (c *Controller) orderEngine(id string, host *hosted, now time.Time) {
+	upstream, found := c.state().Table().Upstream(id)
+	if !found || host.publishing || !now.Before(c.tracker.AssuredUntil()) {
+		return
+	}
+	target, hasTarget := c.state().Target(id)
+	residencies := c.state().Residencies(id)
+	c.releaseLoads(host, residencies)
+	step := host.ledger.Decide(reserver.Input{
+		Upstream:    upstream,
+		Term:        host.term,
+		Residencies: residencies,
+		Target:      target.Weights,
+		HasTarget:   hasTarget,
+		Permit:      c.storePermit,
+		Now:         now,
+	})
+	c.publishResidencies(id, host, step.Publish)
+	for _, order := range step.Orders {
+		c.sendOrder(upstream, host, order)
+	}
+}
+
+// storePermit takes a load from the limits of the weight store.
+func (c *Controller) storePermit() bool {
+	limit, found := c.state().Table().Limit(crocushollow.WeightStoreLimitID)
+	if !found {
+		return true
+	}
+	now := time.Now()
+	flightKey := limiter.ResourceKey{Kind: limiter.StoreFlight, ID: limit.ID}
+	rateKey := limiter.ResourceKey{Kind: limiter.StoreRate, ID: limit.ID}
+	flight := c.config.Parts.Semaphore(flightKey)
+	rate := c.config.Parts.Bucket(rateKey, limiter.Rate{PerSecond: limit.Rate, Burst: float64(limit.Burst)}, now)
+	if !flight.Acquire() {
+		c.Want(flightKey, 1)
+		return false
+	}
+	if !rate.Take(1, now) {
+		flight.Release()
+		c.Want(rateKey, 1)
+		return false
+	}
+	return true
+}
+
+// releaseLoads ends the use of the weight store by loads that have finished.
+func (c *Controller) releaseLoads(host *hosted, residencies []crocushollow.Residency) {
+	flight := c.config.Parts.Semaphore(limiter.ResourceKey{
+		Kind: limiter.StoreFlight, ID: crocushollow.WeightStoreLimitID,
+	})
+	for label := range host.loads {
+		loading := slices.ContainsFunc(residencies, func(r crocushollow.Residency) bool {
+			return r.Weights.Label() == label && r.State == crocushollow.Loading
+		})
+		if !loading && !host.publishing {
+			delete(host.loads, label)
+			flight.Release()
+		}
+	}
+}
+
+func (c *Controller) publishResidencies(id string, host *hosted, residencies []crocushollow.Residency) {
+	if len(residencies) == 0 {
+		return
+	}
+	_, limited := c.state().Table().Limit(crocushollow.WeightStoreLimitID)
+	for _, residency := range residencies {
+		c.config.Logger.Info().Str("upstream", id).Str("weights", residency.Weights.Label()).
+			Str("state", string(residency.State)).Uint64("term", residency.Term).Msg("residency changes")
+		known := slices.ContainsFunc(c.state().Residencies(id), func(r crocushollow.Residency) bool {
+			return r.Weights.Label() == residency.Weights.Label()
+		})
+		if residency.State == crocushollow.Loading && limited && !known {
+			host.loads[residency.Weights.Label()] = true
+		}
+	}
+	host.publishing = true
+	c.publish(crocushollow.Record{Residencies: residencies}, func(error) event {
+		return residenciesPublished{upstream: id, term: host.term}
+	})
+}
+
+type residenciesPublished struct {
+	upstream string
+	term     uint64
+}
+
+func (e residenciesPublished) apply(c *Controller) {
+	host, found := c.placement.hosts[e.upstream]
+	if !found || host.term != e.term {
+		return
+	}
+	host.publishing = false
+	c.orderEngine(e.upstream, host, time.Now())
+}
+
+func (c *Controller) sendOrder(upstream crocushollow.Upstream, host *hosted, order crocushollow.Order) {
+	c.start(c.config.Timing.CallTimeout, func(ctx context.Context) event {
+		err := c.config.Engines.Order(ctx, upstream, order)
+		return orderAnswered{upstream: upstream.ID, term: host.term, order: order, err: err}
+	})
+}
+
+type orderAnswered struct {
+	upstream string
+	term     uint64
+	order    crocushollow.Order
+	err      error
+}
+
+func (e orderAnswered) apply(c *Controller) {
+	host, found := c.placement.hosts[e.upstream]
+	if !found || host.term != e.term {
+		return
+	}
+	if e.err != nil {
+		c.config.Logger.Warn().Err(e.err).Str("upstream", e.upstream).
+			Str("weights", e.order.Weights.Label()).Msg("order not taken")
+		return
+	}
+	host.ledger.Acknowledged(e.order, time.Now())
+}
+
+// demandMemory is how long a member's demand counts after its last report.
+const demandMemory = 5 * time.Second
+
+// shareDemand reports this instance's demand to the planner.
+func (c *Controller) shareDemand(now time.Time) {
+	demand := c.config.Demand()
+	c.placement.demand[c.self.ID] = demandReport{demand: demand, at: now}
+	holding := c.state().Holding(crocushollow.PlannerShard)
+	planner, found := c.state().Member(holding.Holder.Instance)
+	if !found || planner.Life() == c.self.Life() || len(demand) == 0 {
+		return
+	}
+	report := DemandReport{From: c.self.Life(), Demand: demand}
+	c.start(c.config.Timing.CallTimeout, func(ctx context.Context) event {
+		_ = c.config.Peers.ReportDemand(ctx, planner, report)
+		return nil
+	})
+}
+
+// HandleDemand takes a member's demand as the planner.
+func (c *Controller) HandleDemand(ctx context.Context, report DemandReport) error {
+	return c.post(ctx, demandReported{report: report})
+}
+
+type demandReported struct {
+	report DemandReport
+}
+
+func (e demandReported) apply(c *Controller) {
+	c.placement.demand[e.report.From.Instance] = demandReport{demand: e.report.Demand, at: time.Now()}
+}
+
+func (c *Controller) totalDemand(now time.Time) placer.Demand {
+	total := make(placer.Demand)
+	for instance, report := range c.placement.demand {
+		if now.Sub(report.at) > demandMemory {
+			delete(c.placement.demand, instance)
+			continue
+		}
+		for name, requests := range report.demand {
+			total[name] += requests
+		}
+	}
+	return total
+}
+
+// plan publishes the targets that have changed.
+func (c *Controller) plan(now time.Time) {
+	isPlanner := c.state().IsHolder(c.self.Life(), crocushollow.PlannerShard)
+	if !isPlanner || c.placement.planning || c.drain.active || !now.Before(c.tracker.AssuredUntil()) {
+		return
+	}
+	table := c.state().Table()
+	in := placer.Input{Models: table.Models(), Adapters: table.Adapters(), Demand: c.totalDemand(now)}
+	for _, upstream := range table.Upstreams() {
+		if upstream.Kind == crocushollow.EngineUpstream {
+			in.Hosts = append(in.Hosts, c.hostInput(upstream))
+		}
+	}
+	term := c.state().Holding(crocushollow.PlannerShard).Term
+	var record crocushollow.Record
+	for id, weights := range c.config.Planner.Plan(in) {
+		current, found := c.state().Target(id)
+		if !found || !slices.Equal(current.Weights, weights) {
+			record.Targets = append(record.Targets, crocushollow.Target{Upstream: id, Weights: weights, Term: term})
+		}
+	}
+	if record.IsEmpty() {
+		return
+	}
+	c.placement.planning = true
+	c.config.Logger.Info().Int("upstreams", len(record.Targets)).Msg("placement changes")
+	c.publish(record, func(error) event { return planPublished{} })
+}
+
+func (c *Controller) hostInput(upstream crocushollow.Upstream) placer.Host {
+	target, _ := c.state().Target(upstream.ID)
+	host := placer.Host{
+		Upstream:  upstream,
+		InService: c.state().Table().TakesNewWork(upstream),
+		Target:    target.Weights,
+		Resident:  make(map[string]bool),
+	}
+	for _, residency := range c.state().Residencies(upstream.ID) {
+		if residency.State == crocushollow.Resident {
+			host.Resident[residency.Weights.Label()] = true
+		}
+	}
+	return host
+}
+
+type planPublished struct{}
+
+func (planPublished) apply(c *Controller) { c.placement.planning = false }
--- /dev/null
+++ b/coordination/controller/waiters.go
@@ -0,0 +1,104 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/applier"
+)
+
+// waiters holds those who wait for records to be applied.
+type waiters struct {
+	edits   map[crocushollow.ID]chan crocushollow.EditResult
+	records []recordWaiter
+}
+
+type recordWaiter struct {
+	id     crocushollow.ID
+	since  time.Time
+	answer chan bool
+}
+
+func newWaiters() waiters {
+	return waiters{edits: make(map[crocushollow.ID]chan crocushollow.EditResult)}
+}
+
+func (w *waiters) deliver(results []crocushollow.EditResult) {
+	for _, result := range results {
+		if answer, found := w.edits[result.Edit.ID]; found {
+			delete(w.edits, result.Edit.ID)
+			answer <- result
+		}
+	}
+}
+
+// settle answers those whose record is in the log, and those whose record was
+// not there when the log was read after they began to wait.
+func (w *waiters) settle(state *applier.State, now time.Time, logAge time.Duration) {
+	kept := w.records[:0]
+	for _, waiter := range w.records {
+		switch {
+		case state.HasRecord(waiter.id):
+			waiter.answer <- true
+		case now.Add(-logAge).After(waiter.since):
+			waiter.answer <- false
+		default:
+			kept = append(kept, waiter)
+		}
+	}
+	w.records = kept
+}
+
+// Settle implements publisher.Settler.
+func (c *Controller) Settle(ctx context.Context, id crocushollow.ID) (bool, error) {
+	e := settleAsked{waiter: recordWaiter{id: id, since: time.Now(), answer: make(chan bool, 1)}}
+	return ask(ctx, c, e.waiter.answer, e)
+}
+
+type settleAsked struct {
+	waiter recordWaiter
+}
+
+func (e settleAsked) apply(c *Controller) {
+	c.waiters.records = append(c.waiters.records, e.waiter)
+	now := time.Now()
+	c.waiters.settle(c.state(), now, c.tracker.LogAge(now))
+}
+
+// Edit publishes edits and returns what became of them once they are applied
+// here. The error is a publisher's if it is not known whether they took effect.
+func (c *Controller) Edit(ctx context.Context, edits []crocushollow.Edit) ([]crocushollow.EditResult, error) {
+	record := crocushollow.Record{ID: crocushollow.NewID(), Author: c.View().Self.Life(), Edits: edits}
+	if err := record.Validate(); err != nil {
+		return nil, err
+	}
+	answers := make(chan crocushollow.EditResult, len(edits))
+	if err := c.post(ctx, editsExpected{edits: edits, answers: answers}); err != nil {
+		return nil, err
+	}
+	if err := c.config.Publisher.Publish(ctx, record); err != nil {
+		return nil, err
+	}
+	results := make([]crocushollow.EditResult, 0, len(edits))
+	for range edits {
+		select {
+		case result := <-answers:
+			results = append(results, result)
+		case <-ctx.Done():
+			return results, ctx.Err()
+		}
+	}
+	return results, nil
+}
+
+type editsExpected struct {
+	edits   []crocushollow.Edit
+	answers chan crocushollow.EditResult
+}
+
+func (e editsExpected) apply(c *Controller) {
+	for _, edit := range e.edits {
+		c.waiters.edits[edit.ID] = e.answers
+	}
+}
--- /dev/null
+++ b/coordination/publisher/publisher.go
@@ -0,0 +1,232 @@
+// Package publisher appends records to the platform's log. It gathers the
+// records that wait while an append is under way into the next one, so that the
+// number of appends does not grow with the number of records.
+package publisher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/encoder"
+)
+
+// Appender appends to the platform's log.
+type Appender interface {
+	// Append adds a batch and returns its offset. After an error the batch may
+	// still have been added.
+	Append(ctx context.Context, batch []byte) (uint64, error)
+}
+
+// Settler tells whether a record is in the log.
+type Settler interface {
+	// Settle returns true once the record has been applied, and false once the
+	// log has been read past the time of the call without it.
+	Settle(ctx context.Context, id crocushollow.ID) (bool, error)
+}
+
+// Errors of a publisher.
+var (
+	// ErrUnavailable reports that the log cannot be reached. The record may or
+	// may not be in it.
+	ErrUnavailable = errors.New("log unavailable")
+	// ErrTooLarge reports a record above the size limit of the log.
+	ErrTooLarge = errors.New("record too large for the log")
+	// ErrBusy reports that too many records wait.
+	ErrBusy = errors.New("too many records wait for the log")
+)
+
+// Config configures a Publisher.
+type Config struct {
+	Appender Appender
+	Settler  Settler
+	// AppendTimeout bounds one append.
+	AppendTimeout time.Duration
+	// MaxBatchBytes bounds the size of an append.
+	MaxBatchBytes int
+	// Interval is the least time between the starts of two appends.
+	Interval time.Duration
+}
+
+// queueLength bounds the number of records that wait.
+const queueLength = 4096
+
+// retryPause is the time between two tries to append.
+const retryPause = 200 * time.Millisecond
+
+// submission is a record on its way with the channel for its end.
+type submission struct {
+	ctx    context.Context
+	record crocushollow.Record
+	bytes  int
+	result chan error
+}
+
+// Publisher appends in a goroutine of its own. Done is closed at its end.
+type Publisher struct {
+	config Config
+	queue  chan *submission
+	done   chan struct{}
+}
+
+// New returns a publisher. Run starts it.
+func New(config Config) *Publisher {
+	return &Publisher{
+		config: config,
+		queue:  make(chan *submission, queueLength),
+		done:   make(chan struct{}),
+	}
+}
+
+// Done is closed when Run has returned.
+func (p *Publisher) Done() <-chan struct{} { return p.done }
+
+// Publish appends a record and waits until it has been applied here.
+func (p *Publisher) Publish(ctx context.Context, record crocushollow.Record) error {
+	encoded, err := encoder.Encode(record)
+	if err != nil {
+		return err
+	}
+	if len(encoded) > p.config.MaxBatchBytes {
+		return ErrTooLarge
+	}
+	s := &submission{ctx: ctx, record: record, bytes: len(encoded), result: make(chan error, 1)}
+	select {
+	case p.queue <- s:
+	default:
+		return ErrBusy
+	}
+	select {
+	case err := <-s.result:
+		return err
+	case <-ctx.Done():
+		return errors.Join(ErrUnavailable, ctx.Err())
+	}
+}
+
+// Restore appends an entry again that the log has lost.
+func (p *Publisher) Restore(ctx context.Context, batch []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, p.config.AppendTimeout)
+	defer cancel()
+	_, err := p.config.Appender.Append(ctx, batch)
+	return err
+}
+
+// Run appends submitted records until the context ends.
+func (p *Publisher) Run(ctx context.Context) {
+	defer close(p.done)
+	var waiting []*submission
+	for {
+		if len(waiting) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-p.queue:
+				waiting = append(waiting, s)
+			}
+		}
+		waiting = p.drainQueue(waiting)
+		started := time.Now()
+		waiting = p.appendOnce(ctx, waiting)
+		if ctx.Err() != nil {
+			return
+		}
+		pause(ctx, p.config.Interval-time.Since(started))
+	}
+}
+
+func (p *Publisher) drainQueue(waiting []*submission) []*submission {
+	for {
+		select {
+		case s := <-p.queue:
+			waiting = append(waiting, s)
+		default:
+			return waiting
+		}
+	}
+}
+
+// appendOnce appends one batch and returns the submissions that still wait.
+func (p *Publisher) appendOnce(ctx context.Context, waiting []*submission) []*submission {
+	waiting = dropCancelled(waiting)
+	count, batch := p.batch(waiting)
+	if count == 0 {
+		return waiting
+	}
+	taken := waiting[:count]
+	encoded, err := encoder.Encode(batch)
+	if err != nil {
+		finish(taken, err)
+		return waiting[count:]
+	}
+	appendCtx, cancel := context.WithTimeout(ctx, p.config.AppendTimeout)
+	_, err = p.config.Appender.Append(appendCtx, encoded)
+	cancel()
+	if err != nil {
+		pause(ctx, retryPause)
+	}
+	// Whether or not the answer came, the log says what is in it.
+	unsettled := p.settle(ctx, taken)
+	return append(unsettled, waiting[count:]...)
+}
+
+// dropCancelled removes the submissions whose callers have gone. A record that
+// was sent already may still take effect.
+func dropCancelled(waiting []*submission) []*submission {
+	kept := waiting[:0]
+	for _, s := range waiting {
+		if s.ctx.Err() == nil {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// batch returns as many submissions as fit one append.
+func (p *Publisher) batch(waiting []*submission) (int, crocushollow.Batch) {
+	batch := crocushollow.Batch{Version: crocushollow.BatchVersion}
+	size := 0
+	for i, s := range waiting {
+		size += s.bytes
+		if i > 0 && size > p.config.MaxBatchBytes {
+			return i, batch
+		}
+		batch.Records = append(batch.Records, s.record)
+	}
+	return len(waiting), batch
+}
+
+// settle ends the submissions that are in the log and returns the others.
+func (p *Publisher) settle(ctx context.Context, taken []*submission) []*submission {
+	settleCtx, cancel := context.WithTimeout(ctx, p.config.AppendTimeout)
+	defer cancel()
+	var unsettled []*submission
+	for _, s := range taken {
+		applied, err := p.config.Settler.Settle(settleCtx, s.record.ID)
+		if err == nil && applied {
+			s.result <- nil
+			continue
+		}
+		unsettled = append(unsettled, s)
+	}
+	return unsettled
+}
+
+func finish(taken []*submission, err error) {
+	for _, s := range taken {
+		s.result <- err
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/daemon/policy.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/crocushollow/crocushollow/coordination/controller"
+	"github.com/crocushollow/crocushollow/protocol/dispatcher"
+	"github.com/crocushollow/crocushollow/state/balancer"
+	"github.com/crocushollow/crocushollow/state/placer"
+	"github.com/crocushollow/crocushollow/state/scheduler"
+	"github.com/crocushollow/crocushollow/transport/console"
+)
+
+func (s Settings) timing() controller.Timing {
+	timing := controller.DefaultTiming()
+	timing.Lease = time.Duration(s.Timing.Lease)
+	timing.ProbeInterval = time.Duration(s.Timing.ProbeInterval)
+	timing.SuspectAfter = time.Duration(s.Timing.SuspectAfter)
+	timing.ExchangeInterval = time.Duration(s.Timing.ExchangeInterval)
+	timing.ReportInterval = time.Duration(s.Timing.ReportInterval)
+	timing.PlanInterval = time.Duration(s.Timing.PlanInterval)
+	timing.SnapshotInterval = time.Duration(s.Timing.SnapshotInterval)
+	timing.CallTimeout = time.Duration(s.Timing.CallTimeout)
+	return timing
+}
+
+func (s Settings) planner() placer.Planner {
+	if s.Policy.Placement == "static" {
+		return placer.Static{}
+	}
+	return placer.Adaptive{}
+}
+
+func (s Settings) evenParts() int64 {
+	if s.Policy.Limits == "static" {
+		return s.Policy.StaticParts
+	}
+	return 0
+}
+
+func (s Settings) routing() balancer.Policy {
+	switch s.Policy.Routing {
+	case "least_loaded":
+		return balancer.LeastLoaded{}
+	case "round_robin":
+		return &balancer.RoundRobin{}
+	default:
+		return balancer.Affinity{}
+	}
+}
+
+func (s Settings) newQueue() scheduler.Queue[*dispatcher.Ticket] {
+	if s.Policy.Queue == "fifo" {
+		return scheduler.NewFIFO[*dispatcher.Ticket](s.Calls.QueueLength)
+	}
+	return scheduler.NewFair[*dispatcher.Ticket](s.Calls.QueueLength)
+}
+
+func (s Settings) operators() []console.Operator {
+	operators := make([]console.Operator, 0, len(s.Operators))
+	for _, o := range s.Operators {
+		operators = append(operators, console.Operator{Name: o.Name, TokenDigest: o.TokenSHA256, Role: o.Role})
+	}
+	return operators
+}
--- /dev/null
+++ b/daemon/relay.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/controller"
+	"github.com/crocushollow/crocushollow/state/encoder"
+	"github.com/crocushollow/crocushollow/transport/connector"
+	"github.com/crocushollow/crocushollow/transport/messenger"
+)
+
+// directAppenders is the number of members up to which every instance appends
+// to the log itself.
+const directAppenders = 64
+
+// relayAppender appends through the holder of a shard in a large fleet, so that
+// the number of appends follows the number of shards and not of instances.
+type relayAppender struct {
+	log   *connector.Log
+	peers *messenger.Client
+	view  func() *controller.View
+}
+
+// Append implements publisher.Appender.
+func (a *relayAppender) Append(ctx context.Context, batch []byte) (uint64, error) {
+	relay, found := a.relay()
+	if found {
+		reply, err := a.peers.Publish(ctx, relay, controller.PublishRequest{Batch: batch})
+		if err == nil {
+			return reply.Offset, nil
+		}
+	}
+	return a.log.Append(ctx, batch)
+}
+
+// relay returns the member that appends for this instance, if it is another.
+func (a *relayAppender) relay() (crocushollow.Member, bool) {
+	view := a.view()
+	if view.State.MemberCount() <= directAppenders {
+		return crocushollow.Member{}, false
+	}
+	holding := view.State.Holding(crocushollow.ShardOf(view.Self.ID))
+	member, found := view.State.Member(holding.Holder.Instance)
+	return member, found && member.ID != view.Self.ID && !view.Unavailable[member.ID]
+}
+
+// peerHandler answers the calls of other instances.
+type peerHandler struct {
+	*controller.Controller
+	daemon *Daemon
+}
+
+// HandlePublish appends the records of another instance together with those
+// that wait here.
+func (h peerHandler) HandlePublish(ctx context.Context, request controller.PublishRequest) (controller.PublishReply, error) {
+	var batch crocushollow.Batch
+	if err := encoder.Decode(request.Batch, &batch); err != nil {
+		return controller.PublishReply{}, err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, record := range batch.Records {
+		group.Go(func() error { return h.daemon.publisher.Publish(ctx, record) })
+	}
+	if err := group.Wait(); err != nil {
+		return controller.PublishReply{}, err
+	}
+	return controller.PublishReply{Offset: h.View().State.Offset()}, nil
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,82 @@
+package crocushollow
+
+import "fmt"
+
+// Outcome tells a caller whether its request ran.
+type Outcome string
+
+// The outcomes of a request that got no answer.
+const (
+	// NotRun says that no upstream has started or will start the request.
+	NotRun Outcome = "not_run"
+	// Unknown says that an upstream may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// TableError reports a table that does not exist.
+type TableError struct {
+	Table TableName
+}
+
+// Error implements error.
+func (e *TableError) Error() string {
+	return fmt.Sprintf("no table %q", string(e.Table))
+}
+
+// CellError reports a cell whose value is not allowed.
+type CellError struct {
+	Column string
+	Reason string
+}
+
+// Error implements error.
+func (e *CellError) Error() string {
+	return e.Column + ": " + e.Reason
+}
+
+// ReferenceError reports a row that refers to a missing row, or one that cannot
+// be deleted because others refer to it.
+type ReferenceError struct {
+	Row     RowRef
+	Missing RowRef
+	// Referrers is the number of rows that refer to Row when it is deleted.
+	Referrers int
+}
+
+// Error implements error.
+func (e *ReferenceError) Error() string {
+	if e.Referrers > 0 {
+		return fmt.Sprintf("%s is referred to by %d rows", e.Row, e.Referrers)
+	}
+	return fmt.Sprintf("%s refers to %s, which does not exist", e.Row, e.Missing)
+}
+
+// DuplicateError reports a value that another row holds already.
+type DuplicateError struct {
+	Row    RowRef
+	Column string
+	Other  RowRef
+}
+
+// Error implements error.
+func (e *DuplicateError) Error() string {
+	return fmt.Sprintf("%s: %s is held by %s", e.Row, e.Column, e.Other)
+}
+
+// ConflictError reports an edit based on a revision that is no longer current.
+type ConflictError struct {
+	Row RowRef
+	// Base is the revision that the edit was based on.
+	Base uint64
+	// Current is the entry that won. Its Revision is 0 if the row is absent.
+	Current Entry
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Current.Revision == 0 {
+		return fmt.Sprintf("%s is absent, the edit was based on revision %d", e.Row, e.Base)
+	}
+	return fmt.Sprintf("%s is at revision %d by %s, the edit was based on revision %d",
+		e.Row, e.Current.Revision, e.Current.Author, e.Base)
+}
--- /dev/null
+++ b/protocol/dispatcher/dispatcher.go
@@ -0,0 +1,366 @@
+// Package dispatcher assigns requests to upstreams. A request that finds no
+// free upstream waits in its model's queue until one is free, a limit's owner
+// grants more of it, or the request's deadline passes.
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/protocol/refuser"
+	"github.com/crocushollow/crocushollow/state/applier"
+	"github.com/crocushollow/crocushollow/state/balancer"
+	"github.com/crocushollow/crocushollow/state/limiter"
+	"github.com/crocushollow/crocushollow/state/placer"
+	"github.com/crocushollow/crocushollow/state/scheduler"
+)
+
+// Health tells which upstreams fail.
+type Health interface {
+	IsAvoided(upstream string, now time.Time) bool
+}
+
+// Lender asks the owner of a limit for units.
+type Lender interface {
+	Want(key limiter.ResourceKey, shortfall float64) <-chan struct{}
+}
+
+// Config configures a Dispatcher.
+type Config struct {
+	// State returns the current state.
+	State  func() *applier.State
+	Parts  *limiter.Registry
+	Lender Lender
+	Health Health
+	Policy balancer.Policy
+	// NewQueue returns the queue of a model.
+	NewQueue func() scheduler.Queue[*Ticket]
+	// AvailabilityZone is the instance's own.
+	AvailabilityZone string
+	// MaxWait bounds how long a request of each class waits.
+	MaxWait map[scheduler.Class]time.Duration
+}
+
+// Request is what an upstream is needed for.
+type Request struct {
+	Workspace crocushollow.Workspace
+	// Queue names the queue to wait in: that of a base model or of a route.
+	Queue string
+	// Weights is the name of the model or adapter, empty for a service.
+	Weights string
+	// Upstreams lists the services that could take the request.
+	Upstreams []string
+	Class   scheduler.Class
+	// Tokens is the expected cost.
+	Tokens float64
+	// Prefix is a hash of the beginning of the prompt.
+	Prefix uint64
+	// Tried lists the upstreams that the request must not meet again.
+	Tried []string
+}
+
+// Ticket is a request that waits.
+type Ticket struct {
+	request Request
+	// lease takes the upstream once there is one.
+	lease chan *Lease
+}
+
+// Lease is the right to send one request to an upstream. It must be released
+// once.
+type Lease struct {
+	Upstream crocushollow.Upstream
+	lineup   *lineup
+	flight   *limiter.Semaphore
+	tokens   float64
+}
+
+// Dispatcher is safe for concurrent use. Done is closed when Run has returned.
+type Dispatcher struct {
+	config Config
+	wake   chan struct{}
+	done   chan struct{}
+
+	mu      sync.Mutex
+	lineups map[string]*lineup
+}
+
+// lineup is the queue of one model with what is known of its service.
+type lineup struct {
+	mu    sync.Mutex
+	queue scheduler.Queue[*Ticket]
+	// inFlight and served describe the demand and the speed of service.
+	inFlight int
+	served   rateMeter
+	scratch  []balancer.Candidate
+	routes   routeCache
+}
+
+// New returns a dispatcher. Run starts it.
+func New(config Config) *Dispatcher {
+	return &Dispatcher{
+		config:  config,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		lineups: make(map[string]*lineup),
+	}
+}
+
+// Done is closed when Run has returned.
+func (d *Dispatcher) Done() <-chan struct{} { return d.done }
+
+// Wake lets waiting requests be looked at soon.
+func (d *Dispatcher) Wake() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// retryInterval is the time between two looks at waiting requests when nothing
+// wakes the dispatcher.
+const retryInterval = 25 * time.Millisecond
+
+// Run serves waiting requests until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	defer close(d.done)
+	ticker := time.NewTicker(retryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.serveAll(true)
+		case <-d.wake:
+			d.serveAll(false)
+		}
+	}
+}
+
+func (d *Dispatcher) serveAll(borrow bool) {
+	for _, l := range d.allLineups() {
+		d.serve(l, borrow)
+	}
+}
+
+func (d *Dispatcher) allLineups() []*lineup {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	lineups := make([]*lineup, 0, len(d.lineups))
+	for _, l := range d.lineups {
+		lineups = append(lineups, l)
+	}
+	return lineups
+}
+
+func (d *Dispatcher) lineup(queue string) *lineup {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, found := d.lineups[queue]
+	if !found {
+		l = &lineup{queue: d.config.NewQueue()}
+		d.lineups[queue] = l
+	}
+	return l
+}
+
+// serve hands free upstreams to waiting requests, and asks for more of the
+// upstreams if some still wait.
+func (d *Dispatcher) serve(l *lineup, borrow bool) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.queue.Len() == 0 {
+		return
+	}
+	served := true
+	for served {
+		served = l.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
+			lease := d.choose(l, &t.request, now)
+			if lease == nil {
+				return false
+			}
+			t.lease <- lease
+			return true
+		})
+	}
+	if borrow {
+		l.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
+			d.borrow(l, &t.request, now)
+			return false
+		})
+	}
+}
+
+// Acquire waits for an upstream. The error is a *refuser.Refusal or the
+// context's cause.
+func (d *Dispatcher) Acquire(ctx context.Context, request Request) (*Lease, error) {
+	l := d.lineup(request.Queue)
+	ticket, lease, err := d.enqueue(l, request)
+	if err != nil || lease != nil {
+		return lease, err
+	}
+	timer := time.NewTimer(d.config.MaxWait[request.Class])
+	defer timer.Stop()
+	select {
+	case lease := <-ticket.lease:
+		return lease, nil
+	case <-ctx.Done():
+		d.abandon(l, ticket)
+		return nil, context.Cause(ctx)
+	case <-timer.C:
+		d.abandon(l, ticket)
+		return nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
+			"no upstream was free in time").WithRetryAfter(time.Second)
+	}
+}
+
+// enqueue returns a lease at once if an upstream is free and nobody waits, and
+// a ticket otherwise.
+func (d *Dispatcher) enqueue(l *lineup, request Request) (*Ticket, *Lease, error) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !hasUntried(d.routes(l, &request), request.Tried) {
+		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream,
+			"no upstream is there to serve the request").WithRetryAfter(time.Second)
+	}
+	if l.queue.Len() == 0 {
+		if lease := d.choose(l, &request, now); lease != nil {
+			return nil, lease, nil
+		}
+	}
+	if wait := l.expectedWait(now); wait > d.config.MaxWait[request.Class] {
+		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
+			"the model's queue is too long").WithRetryAfter(wait - d.config.MaxWait[request.Class])
+	}
+	ticket := &Ticket{request: request, lease: make(chan *Lease, 1)}
+	item := scheduler.Item{
+		Workspace: request.Workspace.ID,
+		Weight:    max(request.Workspace.Weight, 1),
+		Class:     request.Class,
+		Tokens:    request.Tokens,
+		Arrived:   now,
+	}
+	if !l.queue.Push(item, ticket) {
+		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
+			"the model's queue is full").WithRetryAfter(max(l.expectedWait(now), time.Second))
+	}
+	d.borrow(l, &request, now)
+	return ticket, nil, nil
+}
+
+// expectedWait returns how long the waiting tokens take at the recent speed, 0
+// if that is not known.
+func (l *lineup) expectedWait(now time.Time) time.Duration {
+	speed := l.served.perSecond(now)
+	if speed == 0 {
+		return 0
+	}
+	return time.Duration(l.queue.Tokens() / speed * float64(time.Second))
+}
+
+// abandon takes a ticket out of the queue, or releases the lease it has got in
+// the meantime.
+func (d *Dispatcher) abandon(l *lineup, ticket *Ticket) {
+	l.mu.Lock()
+	removed := l.queue.Remove(func(t *Ticket) bool { return t == ticket })
+	l.mu.Unlock()
+	if !removed {
+		d.Release(<-ticket.lease)
+	}
+}
+
+// Release ends a lease.
+func (d *Dispatcher) Release(lease *Lease) {
+	lease.flight.Release()
+	l := lease.lineup
+	l.mu.Lock()
+	l.inFlight--
+	l.served.add(lease.tokens, time.Now())
+	l.mu.Unlock()
+	d.Wake()
+}
+
+// choose returns a lease of the best free upstream, or nil. The caller holds
+// the lineup's lock.
+func (d *Dispatcher) choose(l *lineup, request *Request, now time.Time) *Lease {
+	routes := d.routes(l, request)
+	candidates := d.candidates(l, routes, request, now)
+	for {
+		chosen := d.config.Policy.Choose(candidates, request.Prefix)
+		if chosen < 0 {
+			return nil
+		}
+		route := &routes[chosen]
+		if route.flight.Acquire() {
+			l.inFlight++
+			return &Lease{Upstream: route.upstream, lineup: l, flight: route.flight, tokens: request.Tokens}
+		}
+		candidates[chosen].Free = false
+	}
+}
+
+// candidates fills the lineup's scratch space with the state of its routes.
+func (d *Dispatcher) candidates(l *lineup, routes []route, request *Request, now time.Time) []balancer.Candidate {
+	candidates := l.scratch[:0]
+	for i := range routes {
+		r := &routes[i]
+		usable := !slices.Contains(request.Tried, r.upstream.ID) && !d.config.Health.IsAvoided(r.upstream.ID, now)
+		candidates = append(candidates, balancer.Candidate{
+			ID:    r.upstream.ID,
+			Hash:  r.hash,
+			Load:  float64(r.flight.Used()) / float64(r.upstream.MaxInFlight),
+			Local: r.upstream.AvailabilityZone == d.config.AvailabilityZone,
+			Free:  usable && r.flight.Free() > 0,
+		})
+	}
+	l.scratch = candidates
+	return candidates
+}
+
+// borrow asks for a unit of the upstream that suits a request best.
+func (d *Dispatcher) borrow(l *lineup, request *Request, now time.Time) {
+	routes := d.routes(l, request)
+	candidates := d.candidates(l, routes, request, now)
+	for i := range candidates {
+		id := routes[i].upstream.ID
+		candidates[i].Free = !slices.Contains(request.Tried, id) && !d.config.Health.IsAvoided(id, now)
+	}
+	// A few upstreams are asked at once, so that one whose limit is used up
+	// does not hold the request back.
+	for range borrowFrom {
+		chosen := d.config.Policy.Choose(candidates, request.Prefix)
+		if chosen < 0 {
+			return
+		}
+		candidates[chosen].Free = false
+		d.config.Lender.Want(routes[chosen].key, float64(min(l.queue.Len(), maxBorrow)))
+	}
+}
+
+// Bounds of what is asked for at once.
+const (
+	borrowFrom = 2
+	maxBorrow  = 4
+)
+
+// Demand returns the requests that run or wait, by queue.
+func (d *Dispatcher) Demand() placer.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	demand := make(placer.Demand)
+	for queue, l := range d.lineups {
+		l.mu.Lock()
+		if requests := l.inFlight + l.queue.Len(); requests > 0 {
+			demand[queue] = float64(requests)
+		}
+		l.mu.Unlock()
+	}
+	return demand
+}
--- /dev/null
+++ b/record.go
@@ -0,0 +1,113 @@
+package crocushollow
+
+import (
+	"errors"
+	"fmt"
+)
+
+// BatchVersion is the version of the log format that is written.
+const BatchVersion = 1
+
+// Batch is one append to the platform's log. It carries the records of one or
+// more members, which take effect in order.
+type Batch struct {
+	// Version is the format. A reader skips batches newer than it knows.
+	Version int      `json:"version"`
+	Records []Record `json:"records"`
+}
+
+// Validate checks each record as far as that needs no other state.
+func (b Batch) Validate() error {
+	if b.Version < 1 || b.Version > BatchVersion {
+		return fmt.Errorf("batch version %d", b.Version)
+	}
+	for _, record := range b.Records {
+		if err := record.Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Record is what one member publishes at once. Its entries take effect in the
+// order of the fields below.
+type Record struct {
+	// ID makes a record that was appended twice take effect once.
+	ID ID `json:"id"`
+	// Author is the member that wrote the record.
+	Author Life `json:"author"`
+
+	Joins       []Member     `json:"joins,omitempty"`
+	Departures  []Life       `json:"departures,omitempty"`
+	Drains      []Life       `json:"drains,omitempty"`
+	Releases    []Claim      `json:"releases,omitempty"`
+	Claims      []Claim      `json:"claims,omitempty"`
+	Edits       []Edit       `json:"edits,omitempty"`
+	Targets     []Target     `json:"targets,omitempty"`
+	Residencies []Residency  `json:"residencies,omitempty"`
+	CallClaims  []CallClaim  `json:"call_claims,omitempty"`
+	CallResults []CallResult `json:"call_results,omitempty"`
+	Snapshot    *Snapshot    `json:"snapshot,omitempty"`
+}
+
+// Snapshot is a part of the state at a log offset. A reader that has all parts
+// continues with the record after the offset.
+type Snapshot struct {
+	// Offset is that of the last record included.
+	Offset uint64 `json:"offset"`
+	// Part counts from 0 to Parts-1.
+	Part  int `json:"part"`
+	Parts int `json:"parts"`
+	// Data is a slice of the encoded state.
+	Data []byte `json:"data"`
+}
+
+// Validate checks each entry as far as that needs no other state.
+func (r Record) Validate() error {
+	if r.ID.IsZero() {
+		return errors.New("record without an id")
+	}
+	for _, edit := range r.Edits {
+		if err := edit.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, member := range r.Joins {
+		if err := member.Validate(); err != nil {
+			return err
+		}
+	}
+	for _, claim := range r.Claims {
+		if claim.Shard >= ShardCount {
+			return fmt.Errorf("claim of shard %d", claim.Shard)
+		}
+	}
+	if s := r.Snapshot; s != nil && (s.Part < 0 || s.Part >= s.Parts) {
+		return fmt.Errorf("snapshot part %d of %d", s.Part, s.Parts)
+	}
+	return nil
+}
+
+// IsEmpty reports whether the record carries no entry.
+func (r Record) IsEmpty() bool {
+	return len(r.Joins)+len(r.Departures)+len(r.Drains)+len(r.Releases)+len(r.Claims)+len(r.Edits)+
+		len(r.Targets)+len(r.Residencies)+len(r.CallClaims)+len(r.CallResults) == 0 && r.Snapshot == nil
+}
+
+// With returns the record with the entries of another one appended.
+func (r Record) With(other Record) Record {
+	r.Joins = append(r.Joins[:len(r.Joins):len(r.Joins)], other.Joins...)
+	r.Departures = append(r.Departures[:len(r.Departures):len(r.Departures)], other.Departures...)
+	r.Drains = append(r.Drains[:len(r.Drains):len(r.Drains)], other.Drains...)
+	r.Releases = append(r.Releases[:len(r.Releases):len(r.Releases)], other.Releases...)
+	r.Claims = append(r.Claims[:len(r.Claims):len(r.Claims)], other.Claims...)
+	r.Edits = append(r.Edits[:len(r.Edits):len(r.Edits)], other.Edits...)
+	r.Targets = append(r.Targets[:len(r.Targets):len(r.Targets)], other.Targets...)
+	r.Residencies = append(r.Residencies[:len(r.Residencies):len(r.Residencies)], other.Residencies...)
+	r.CallClaims = append(r.CallClaims[:len(r.CallClaims):len(r.CallClaims)], other.CallClaims...)
+	r.CallResults = append(r.CallResults[:len(r.CallResults):len(r.CallResults)], other.CallResults...)
+	if other.Snapshot != nil {
+		r.Snapshot = other.Snapshot
+	}
+	return r
+}
--- /dev/null
+++ b/route.go
@@ -0,0 +1,60 @@
+package crocushollow
+
+import (
+	"strings"
+	"time"
+)
+
+// Route sends calls below a path to plain services.
+type Route struct {
+	// ID is the primary key.
+	ID string `json:"id" cell:"id"`
+	// PathPrefix starts with a slash. The longest matching prefix wins.
+	PathPrefix string `json:"path_prefix" cell:"path_prefix"`
+	// Upstreams lists the IDs of the services that take the calls.
+	Upstreams []string `json:"upstreams" cell:"upstreams"`
+	// Open lets calls through that carry no key.
+	Open bool `json:"open" cell:"open"`
+	// Repeatable allows a call to be sent again after a failure.
+	Repeatable bool `json:"repeatable" cell:"repeatable"`
+	// Timeout bounds one call.
+	Timeout time.Duration `json:"timeout" cell:"timeout"`
+}
+
+// Ref implements Row.
+func (r Route) Ref() RowRef { return RowRef{Table: RouteTable, ID: r.ID} }
+
+// References implements Row.
+func (r Route) References() []RowRef {
+	refs := make([]RowRef, 0, len(r.Upstreams))
+	for _, id := range r.Upstreams {
+		refs = append(refs, RowRef{Table: UpstreamTable, ID: id})
+	}
+	return refs
+}
+
+// Validate implements Row.
+func (r Route) Validate() error {
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		return &CellError{Column: "path_prefix", Reason: "must start with /"}
+	}
+	if r.PathPrefix == "/v1" || strings.HasPrefix(r.PathPrefix, "/v1/") || r.PathPrefix == "/" {
+		return &CellError{Column: "path_prefix", Reason: "must not cover /v1, which belongs to the models"}
+	}
+	if len(r.Upstreams) == 0 {
+		return &CellError{Column: "upstreams", Reason: "must name at least one upstream"}
+	}
+	return firstError(
+		validateID("id", r.ID),
+		requirePositive("timeout", int64(r.Timeout)),
+	)
+}
+
+// Matches reports whether the route takes calls to the path.
+func (r Route) Matches(path string) bool {
+	if !strings.HasPrefix(path, r.PathPrefix) {
+		return false
+	}
+	rest := path[len(r.PathPrefix):]
+	return rest == "" || rest[0] == '/' || strings.HasSuffix(r.PathPrefix, "/")
+}
--- /dev/null
+++ b/state/applier/snapshot.go
@@ -0,0 +1,190 @@
+package applier
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/encoder"
+)
+
+// PartBytes is the size of the parts that a snapshot is split into.
+const PartBytes = 512 << 10
+
+// snapshotData is the encoded form of a State.
+type snapshotData struct {
+	Offset      uint64                   `json:"offset"`
+	Rows        []snapshotRow            `json:"rows"`
+	Members     []crocushollow.Member    `json:"members"`
+	Departed    []snapshotDeparture      `json:"departed"`
+	Holdings    []crocushollow.Holding   `json:"holdings"`
+	Targets     []crocushollow.Target    `json:"targets"`
+	Residencies []crocushollow.Residency `json:"residencies"`
+	Calls       []snapshotCall           `json:"calls"`
+	Records     []crocushollow.ID        `json:"records"`
+}
+
+type snapshotRow struct {
+	Edit     crocushollow.Edit `json:"edit"`
+	Revision uint64            `json:"revision"`
+}
+
+type snapshotDeparture struct {
+	Life  string `json:"life"`
+	Clean bool   `json:"clean,omitempty"`
+}
+
+type snapshotCall struct {
+	Claim  crocushollow.CallClaim `json:"claim"`
+	Ended  bool                   `json:"ended,omitempty"`
+	Answer *crocushollow.Answer   `json:"answer,omitempty"`
+}
+
+// Encode returns the state as bytes.
+func (s *State) Encode() ([]byte, error) {
+	data := snapshotData{
+		Offset:   s.offset,
+		Members:  s.Members(),
+		Holdings: slices.Collect(maps.Values(s.holdings)),
+		Targets:  slices.Collect(maps.Values(s.targets)),
+	}
+	for _, name := range crocushollow.TableNames() {
+		for _, entry := range s.table.Entries(name) {
+			data.Rows = append(data.Rows, snapshotRow{Edit: editOf(entry), Revision: entry.Revision})
+		}
+	}
+	for itr := s.departedOrder.Iterator(); !itr.Done(); {
+		_, key := itr.Next()
+		clean, _ := s.departed.Get(key)
+		data.Departed = append(data.Departed, snapshotDeparture{Life: key, Clean: clean})
+	}
+	for _, list := range s.residencies {
+		data.Residencies = append(data.Residencies, list...)
+	}
+	for itr := s.callOrder.Iterator(); !itr.Done(); {
+		_, key := itr.Next()
+		if call, found := s.calls.Get(key); found {
+			data.Calls = append(data.Calls, snapshotCall(call))
+		}
+	}
+	for itr := s.recordOrder.Iterator(); !itr.Done(); {
+		_, id := itr.Next()
+		data.Records = append(data.Records, id)
+	}
+	return encoder.Encode(data)
+}
+
+func editOf(entry crocushollow.Entry) crocushollow.Edit {
+	return crocushollow.Edit{
+		ID:     entry.EditID,
+		Ref:    entry.Row.Ref(),
+		Value:  crocushollow.NewRowValue(entry.Row),
+		Author: entry.Author,
+		At:     entry.At,
+	}
+}
+
+// Split returns the encoded state as snapshot parts for the log.
+func (s *State) Split() ([]crocushollow.Snapshot, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	var parts []crocushollow.Snapshot
+	for chunk := range slices.Chunk(data, PartBytes) {
+		parts = append(parts, crocushollow.Snapshot{Offset: s.offset, Part: len(parts), Data: chunk})
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+	}
+	return parts, nil
+}
+
+// Decode returns the state that Encode has written.
+func Decode(encoded []byte) (*State, error) {
+	var data snapshotData
+	if err := encoder.Decode(encoded, &data); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	s := New()
+	s.offset = data.Offset
+	s.members = make(map[string]crocushollow.Member, len(data.Members))
+	for _, member := range data.Members {
+		s.members[member.ID] = member
+	}
+	s.holdings = make(map[crocushollow.Shard]crocushollow.Holding, len(data.Holdings))
+	for _, holding := range data.Holdings {
+		s.holdings[holding.Shard] = holding
+	}
+	s.targets = make(map[string]crocushollow.Target, len(data.Targets))
+	for _, target := range data.Targets {
+		s.targets[target.Upstream] = target
+	}
+	for _, departure := range data.Departed {
+		s.departed = s.departed.Set(departure.Life, departure.Clean)
+		s.departedOrder = s.departedOrder.Append(departure.Life)
+	}
+	s.residencies = make(map[string][]crocushollow.Residency)
+	s.resident = make(map[string][]crocushollow.Residency)
+	for _, residency := range data.Residencies {
+		s.setResidency(residency)
+	}
+	for _, call := range data.Calls {
+		key := callKey(call.Claim.Key)
+		s.calls = s.calls.Set(key, crocushollow.Call(call))
+		s.callOrder = s.callOrder.Append(key)
+	}
+	for _, id := range data.Records {
+		s.remember(id)
+	}
+	return s, s.restoreRows(data.Rows)
+}
+
+func (s *State) restoreRows(rows []snapshotRow) error {
+	entries := make([]crocushollow.Entry, 0, len(rows))
+	for _, row := range rows {
+		if err := row.Edit.Validate(); err != nil {
+			return fmt.Errorf("snapshot: %w", err)
+		}
+		entries = append(entries, crocushollow.Entry{
+			Row:      row.Edit.Value.Row(),
+			Revision: row.Revision,
+			EditID:   row.Edit.ID,
+			Author:   row.Edit.Author,
+			At:       row.Edit.At,
+		})
+	}
+	s.table = s.table.WithEntries(entries)
+	return nil
+}
+
+// Assembler puts the parts of snapshots in the log together.
+type Assembler struct {
+	offset uint64
+	parts  map[int][]byte
+}
+
+// ErrIncomplete reports that parts of the snapshot are still missing.
+var ErrIncomplete = errors.New("snapshot incomplete")
+
+// Add takes the next part in log order. It returns the state once the last
+// part is there, and ErrIncomplete before that. Parts of another snapshot
+// replace those gathered so far.
+func (a *Assembler) Add(part crocushollow.Snapshot) (*State, error) {
+	if part.Offset != a.offset || a.parts == nil {
+		a.offset = part.Offset
+		a.parts = make(map[int][]byte, part.Parts)
+	}
+	a.parts[part.Part] = part.Data
+	if len(a.parts) < part.Parts {
+		return nil, ErrIncomplete
+	}
+	var data []byte
+	for i := range part.Parts {
+		data = append(data, a.parts[i]...)
+	}
+	a.parts = nil
+	return Decode(data)
+}
--- /dev/null
+++ b/state/applier/state.go
@@ -0,0 +1,156 @@
+// Package applier computes the state that the records of the platform's log
+// add up to. The result is the same at every reader: it depends on the records
+// and their offsets alone.
+package applier
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/benbjohnson/immutable"
+
+	"github.com/crocushollow/crocushollow"
+)
+
+// Bounds of what is remembered. They are part of the deterministic state, so
+// they must be the same at every reader.
+const (
+	// maxCalls is the number of claimed calls whose keys are remembered.
+	maxCalls = 100_000
+	// maxDeparted is the number of departed lives that cannot join again.
+	maxDeparted = 20_000
+	// maxRecords is the number of records that are recognized when they are
+	// appended again. A repeated append follows within seconds.
+	maxRecords = 8192
+)
+
+// State is an immutable snapshot of everything that the log decides.
+type State struct {
+	// offset is that of the next record to apply.
+	offset uint64
+	table  *crocushollow.Table
+	// members holds the lives that have joined and not departed.
+	members map[string]crocushollow.Member
+	// membersChanged counts the changes of members.
+	membersChanged uint64
+	// departed tells of each departed life whether it departed by its own word.
+	departed *immutable.Map[string, bool]
+	// departedOrder lists the departed lives, oldest first.
+	departedOrder *immutable.List[string]
+	// holdings holds the current claim of each shard that has one.
+	holdings map[crocushollow.Shard]crocushollow.Holding
+	targets  map[string]crocushollow.Target
+	// residencies holds the weights on each upstream that are not absent.
+	residencies map[string][]crocushollow.Residency
+	// resident maps each name of weights to its resident copies.
+	resident map[string][]crocushollow.Residency
+	calls    *immutable.Map[string, crocushollow.Call]
+	// callOrder lists the keys of calls, oldest first.
+	callOrder *immutable.List[string]
+	// records holds the IDs of the latest records.
+	records *immutable.Map[string, struct{}]
+	// recordOrder lists the IDs of the latest records, oldest first.
+	recordOrder *immutable.List[crocushollow.ID]
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		table:         crocushollow.NewTable(),
+		departed:      immutable.NewMap[string, bool](nil),
+		departedOrder: immutable.NewList[string](),
+		calls:         immutable.NewMap[string, crocushollow.Call](nil),
+		callOrder:     immutable.NewList[string](),
+		records:       immutable.NewMap[string, struct{}](nil),
+		recordOrder:   immutable.NewList[crocushollow.ID](),
+	}
+}
+
+// Offset returns the offset of the next record to apply.
+func (s *State) Offset() uint64 { return s.offset }
+
+// Table returns the rows.
+func (s *State) Table() *crocushollow.Table { return s.table }
+
+// Members returns the joined members sorted by ID.
+func (s *State) Members() []crocushollow.Member {
+	members := slices.Collect(maps.Values(s.members))
+	slices.SortFunc(members, func(a, b crocushollow.Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+// MembersChanged returns a number that grows with every change of the members.
+func (s *State) MembersChanged() uint64 { return s.membersChanged }
+
+// MemberCount returns the number of joined members.
+func (s *State) MemberCount() int { return len(s.members) }
+
+// Member returns the current life of an instance.
+func (s *State) Member(instance string) (crocushollow.Member, bool) {
+	member, found := s.members[instance]
+	return member, found
+}
+
+// IsJoined reports whether a life has joined and not departed.
+func (s *State) IsJoined(life crocushollow.Life) bool {
+	member, found := s.members[life.Instance]
+	return found && member.Incarnation == life.Incarnation
+}
+
+// IsDeparted reports whether a life has been declared departed.
+func (s *State) IsDeparted(life crocushollow.Life) bool {
+	_, found := s.departed.Get(lifeKey(life))
+	return found
+}
+
+// DepartedCleanly reports whether a life has departed by its own word, which
+// means that it uses nothing any more.
+func (s *State) DepartedCleanly(life crocushollow.Life) bool {
+	clean, _ := s.departed.Get(lifeKey(life))
+	return clean
+}
+
+// Holding returns the current claim of a shard. Its term is 0 if there is none.
+func (s *State) Holding(shard crocushollow.Shard) crocushollow.Holding { return s.holdings[shard] }
+
+// IsVacant reports whether a shard has no joined holder.
+func (s *State) IsVacant(shard crocushollow.Shard) bool {
+	holding := s.holdings[shard]
+	return holding.Term == 0 || holding.Released || !s.IsJoined(holding.Holder)
+}
+
+// IsHolder reports whether a life holds a shard.
+func (s *State) IsHolder(life crocushollow.Life, shard crocushollow.Shard) bool {
+	return s.holdings[shard].Holder == life && !s.IsVacant(shard)
+}
+
+// Target returns what the planner wants on an upstream.
+func (s *State) Target(upstream string) (crocushollow.Target, bool) {
+	target, found := s.targets[upstream]
+	return target, found
+}
+
+// Residencies returns the weights on an upstream that occupy memory.
+func (s *State) Residencies(upstream string) []crocushollow.Residency { return s.residencies[upstream] }
+
+// Resident returns the upstreams' residencies that serve the named weights.
+func (s *State) Resident(name string) []crocushollow.Residency { return s.resident[name] }
+
+// HasRecord reports whether a record is among the latest that took effect.
+func (s *State) HasRecord(id crocushollow.ID) bool {
+	_, found := s.records.Get(string(id[:]))
+	return found
+}
+
+// Call returns the claimed call under a key.
+func (s *State) Call(key crocushollow.CallKey) (crocushollow.Call, bool) {
+	return s.calls.Get(callKey(key))
+}
+
+func callKey(key crocushollow.CallKey) string { return key.Workspace + "/" + string(key.Key[:]) }
+
+func lifeKey(life crocushollow.Life) string {
+	return life.Instance + "/" + strconv.FormatUint(uint64(life.Incarnation), 16)
+}
--- /dev/null
+++ b/state/balancer/balancer.go
@@ -0,0 +1,118 @@
+// Package balancer chooses the upstream for a request.
+package balancer
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+// Candidate is an upstream that could take a request.
+type Candidate struct {
+	ID string
+	// Hash is a hash of ID.
+	Hash uint64
+	// Load is the fraction of the upstream's limit in use, from 0 to 1.
+	Load float64
+	// Local tells that the upstream is in the instance's availability zone.
+	Local bool
+	// Free tells that the instance may send a request now.
+	Free bool
+}
+
+// Policy chooses one of the candidates.
+type Policy interface {
+	// Choose returns the index of the chosen candidate, or -1 if none is
+	// free. The prefix is the hash of the prompt's prefix.
+	Choose(candidates []Candidate, prefix uint64) int
+}
+
+// Mix returns a hash of two hashes, by the finalizer of SplitMix64.
+func Mix(a, b uint64) uint64 {
+	h := a ^ (b * 0x9e3779b97f4a7c15)
+	h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9
+	h = (h ^ (h >> 27)) * 0x94d049bb133111eb
+	return h ^ (h >> 31)
+}
+
+// Weights of the affinity policy in fractions of an upstream's limit.
+const (
+	// affinityGain is how much more load the preferred upstream of a prefix
+	// may have before another one is chosen.
+	affinityGain = 0.35
+	// localGain is the same for an upstream in the own availability zone.
+	localGain = 0.1
+	// spread is the range of the tie-break, which differs by prefix and keeps
+	// instances from choosing the same idle upstream.
+	spread = 0.05
+)
+
+// Affinity prefers the upstream that ranks first for the prompt's prefix, as
+// long as its load is not much above the others'. It is rendezvous hashing with
+// bounded loads (Mirrokni, Thorup and Zadimoghaddam, 2018): every instance
+// ranks the upstreams alike without any message.
+type Affinity struct{}
+
+// Choose implements Policy.
+func (Affinity) Choose(candidates []Candidate, prefix uint64) int {
+	preferred := rankFirst(candidates, prefix)
+	best, bestCost := -1, math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Free {
+			continue
+		}
+		cost := c.Load + spread*float64(Mix(c.Hash, prefix+1)>>40)/(1<<24)
+		if i == preferred {
+			cost -= affinityGain
+		}
+		if c.Local {
+			cost -= localGain
+		}
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func rankFirst(candidates []Candidate, prefix uint64) int {
+	first := -1
+	var highest uint64
+	for i := range candidates {
+		if rank := Mix(candidates[i].Hash, prefix); first < 0 || rank > highest {
+			first, highest = i, rank
+		}
+	}
+	return first
+}
+
+// LeastLoaded chooses the free candidate with the least load. It is a baseline.
+type LeastLoaded struct{}
+
+// Choose implements Policy.
+func (LeastLoaded) Choose(candidates []Candidate, _ uint64) int {
+	best := -1
+	for i := range candidates {
+		if candidates[i].Free && (best < 0 || candidates[i].Load < candidates[best].Load) {
+			best = i
+		}
+	}
+	return best
+}
+
+// RoundRobin takes the candidates in turn. It is a baseline.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+// Choose implements Policy.
+func (r *RoundRobin) Choose(candidates []Candidate, _ uint64) int {
+	start := r.next.Add(1)
+	for i := range candidates {
+		index := int((start + uint64(i)) % uint64(len(candidates)))
+		if candidates[index].Free {
+			return index
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/state/encoder/encoder.go
@@ -0,0 +1,77 @@
+// Package encoder turns records and messages into bytes and back. The format is
+// CBOR (RFC 8949) with deterministic encoding and bounded decoding.
+package encoder
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits of a single message.
+const (
+	// MaxBytes is the largest message that is decoded. The state of a whole
+	// fleet in one snapshot is the largest.
+	MaxBytes = 64 << 20
+	maxNesting  = 16
+	maxElements = 1 << 20
+)
+
+// ErrTooLarge reports a message above MaxBytes.
+var ErrTooLarge = errors.New("message too large")
+
+// Validator is implemented by messages that check themselves when decoded.
+type Validator interface {
+	Validate() error
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	opts := cbor.CoreDetEncOptions()
+	opts.Time = cbor.TimeRFC3339Nano
+	mode, err := opts.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the bytes of a message.
+func Encode(message any) ([]byte, error) {
+	data, err := encMode.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", message, err)
+	}
+	return data, nil
+}
+
+// Decode fills a message from bytes and validates it if it is a Validator.
+func Decode(data []byte, message any) error {
+	if len(data) > MaxBytes {
+		return ErrTooLarge
+	}
+	if err := decMode.Unmarshal(data, message); err != nil {
+		return fmt.Errorf("decode %T: %w", message, err)
+	}
+	if v, checks := message.(Validator); checks {
+		return v.Validate()
+	}
+	return nil
+}
--- /dev/null
+++ b/state/limiter/registry.go
@@ -0,0 +1,107 @@
+package limiter
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Part is an instance's part of a limit.
+type Part interface {
+	// Units returns the units held.
+	Units() int64
+	// Give debits up to the given number of units.
+	Give(units int64, now time.Time) Grant
+	// Receive credits a grant.
+	Receive(grant Grant, now time.Time)
+	// Drop removes all units.
+	Drop(now time.Time)
+	// Demand returns the demand since the last call and the largest request.
+	Demand(now time.Time) (demand, largest float64)
+}
+
+// Registry holds the parts of one instance. Reading takes no lock.
+type Registry struct {
+	mu         sync.Mutex
+	buckets    atomic.Pointer[map[ResourceKey]*Bucket]
+	semaphores atomic.Pointer[map[ResourceKey]*Semaphore]
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	registry := &Registry{}
+	registry.buckets.Store(&map[ResourceKey]*Bucket{})
+	registry.semaphores.Store(&map[ResourceKey]*Semaphore{})
+	return registry
+}
+
+// Bucket returns the part of a token bucket and creates it when needed.
+func (r *Registry) Bucket(key ResourceKey, rate Rate, now time.Time) *Bucket {
+	if bucket, found := (*r.buckets.Load())[key]; found {
+		return bucket
+	}
+	return getOrAdd(&r.mu, &r.buckets, key, func() *Bucket { return NewBucket(rate, now) })
+}
+
+// Semaphore returns the part of a limit on uses in progress and creates it
+// when needed.
+func (r *Registry) Semaphore(key ResourceKey) *Semaphore {
+	if semaphore, found := (*r.semaphores.Load())[key]; found {
+		return semaphore
+	}
+	return getOrAdd(&r.mu, &r.semaphores, key, NewSemaphore)
+}
+
+// getOrAdd looks a part up again under the lock and adds it to a copy of the
+// map if it is missing.
+func getOrAdd[P any](mu *sync.Mutex, parts *atomic.Pointer[map[ResourceKey]*P], key ResourceKey, create func() *P) *P {
+	mu.Lock()
+	defer mu.Unlock()
+	current := *parts.Load()
+	if part, found := current[key]; found {
+		return part
+	}
+	copied := maps.Clone(current)
+	part := create()
+	copied[key] = part
+	parts.Store(&copied)
+	return part
+}
+
+// Find returns the part of any kind under a key.
+func (r *Registry) Find(key ResourceKey) (Part, bool) {
+	if bucket, found := (*r.buckets.Load())[key]; found {
+		return bucket, true
+	}
+	if semaphore, found := (*r.semaphores.Load())[key]; found {
+		return semaphore, true
+	}
+	return nil, false
+}
+
+// Remove forgets a part whose row is gone.
+func (r *Registry) Remove(key ResourceKey) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	buckets := maps.Clone(*r.buckets.Load())
+	delete(buckets, key)
+	r.buckets.Store(&buckets)
+	semaphores := maps.Clone(*r.semaphores.Load())
+	delete(semaphores, key)
+	r.semaphores.Store(&semaphores)
+}
+
+// Parts calls yield for every part until it returns false.
+func (r *Registry) Parts(yield func(ResourceKey, Part) bool) {
+	for key, bucket := range *r.buckets.Load() {
+		if !yield(key, bucket) {
+			return
+		}
+	}
+	for key, semaphore := range *r.semaphores.Load() {
+		if !yield(key, semaphore) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/transport/connector/instances.go
@@ -0,0 +1,28 @@
+package connector
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/crocushollow/crocushollow/coordination/controller"
+)
+
+// Instances reads the platform's list of instances over HTTP:
+//
+//	GET /instances -> [{"id": "a", "peer_address": "127.0.0.1:9001", "leaving": false}]
+type Instances struct {
+	base   string
+	client *http.Client
+}
+
+// NewInstances returns a client of the list at an address.
+func NewInstances(address string) *Instances {
+	return &Instances{base: "http://" + address, client: newClient()}
+}
+
+// List implements controller.Lister.
+func (i *Instances) List(ctx context.Context) ([]controller.ListedInstance, error) {
+	var instances []controller.ListedInstance
+	err := callJSON(ctx, i.client, http.MethodGet, i.base+"/instances", nil, &instances)
+	return instances, err
+}
--- /dev/null
+++ b/transport/gateway/gateway.go
@@ -0,0 +1,291 @@
+// Package gateway is the HTTP interface to callers.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"path"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/controller"
+	"github.com/crocushollow/crocushollow/protocol/authenticator"
+	"github.com/crocushollow/crocushollow/protocol/decoder"
+	"github.com/crocushollow/crocushollow/protocol/executor"
+	"github.com/crocushollow/crocushollow/protocol/refuser"
+)
+
+// tracer makes the span of each request.
+var tracer = otel.Tracer("github.com/crocushollow/crocushollow/transport/gateway")
+
+// Recorder counts answered requests.
+type Recorder interface {
+	Answered(workspace, result string, took time.Duration)
+}
+
+// Config configures a Gateway.
+type Config struct {
+	View     func() *controller.View
+	Executor *executor.Executor
+	Sessions *authenticator.Sessions
+	Recorder Recorder
+	Logger   zerolog.Logger
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes int64
+	// BodyTimeout bounds the time a caller takes to send its body.
+	BodyTimeout time.Duration
+	// Discovery configures the answers about which addresses to use.
+	Discovery DiscoveryConfig
+}
+
+// Gateway implements http.Handler.
+type Gateway struct {
+	config   Config
+	inFlight atomic.Int64
+}
+
+// New returns a gateway.
+func New(config Config) *Gateway { return &Gateway{config: config} }
+
+// InFlight returns the number of requests that are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/healthz":
+		w.WriteHeader(http.StatusOK)
+		return
+	case "/readyz":
+		g.serveReadiness(w)
+		return
+	case discoveryPath:
+		g.serveDiscovery(w, r)
+		return
+	}
+	if g.config.View().Draining {
+		// The caller opens its next connection to another instance.
+		w.Header().Set("Connection", "close")
+	}
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	g.serveRequest(w, r)
+}
+
+func (g *Gateway) serveReadiness(w http.ResponseWriter) {
+	view := g.config.View()
+	if view.Draining || !view.IsReady(time.Now()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	defer span.End()
+	identity, err := g.route(ctx, w, r)
+	result := "ok"
+	if err != nil {
+		refusal := asRefusal(err)
+		refusal.Write(w)
+		result = string(refusal.Code)
+		span.SetStatus(codes.Error, result)
+		g.logRefusal(identity, r, refusal)
+	}
+	span.SetAttributes(attribute.String("workspace", identity.Workspace.ID), attribute.String("result", result))
+	g.config.Recorder.Answered(identity.Workspace.ID, result, time.Since(started))
+}
+
+func (g *Gateway) logRefusal(identity authenticator.Identity, r *http.Request, refusal *refuser.Refusal) {
+	g.config.Logger.Info().Str("workspace", identity.Workspace.ID).Str("key", identity.Key).
+		Str("path", r.URL.Path).Int("status", refusal.Status).Str("code", string(refusal.Code)).
+		Str("outcome", string(refusal.Outcome)).Msg("request refused")
+}
+
+// asRefusal turns any error into an answer. An error that is no refusal says
+// nothing about whether the request ran.
+func asRefusal(err error) *refuser.Refusal {
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return refuser.New(http.StatusInternalServerError, refuser.UpstreamFailed, "internal error").
+		WithOutcome(crocushollow.Unknown)
+}
+
+// route finds what a request is for and serves it.
+func (g *Gateway) route(ctx context.Context, w http.ResponseWriter, r *http.Request) (authenticator.Identity, error) {
+	view := g.config.View()
+	if !view.IsReady(time.Now()) && view.State.Offset() == 0 {
+		return authenticator.Identity{}, refuser.New(http.StatusServiceUnavailable, refuser.Isolated,
+			"the instance has not caught up with the log yet").WithRetryAfter(time.Second)
+	}
+	if cleaned := path.Clean(r.URL.Path); cleaned != strings.TrimSuffix(r.URL.Path, "/") && r.URL.Path != "/" {
+		return authenticator.Identity{}, refuser.New(http.StatusBadRequest, refuser.InvalidRequest,
+			"the path has empty or dot segments")
+	}
+	table := view.State.Table()
+	if strings.HasPrefix(r.URL.Path, "/v1/") {
+		identity, err := authenticator.Authenticate(table, r.Header)
+		if err != nil {
+			return identity, err
+		}
+		return identity, g.serveModels(ctx, w, r, identity)
+	}
+	route, found := table.MatchRoute(r.URL.Path)
+	if !found {
+		return authenticator.Identity{}, refuser.New(http.StatusNotFound, refuser.NotFound, "no such path")
+	}
+	var identity authenticator.Identity
+	if !route.Open {
+		var err error
+		if identity, err = authenticator.Authenticate(table, r.Header); err != nil {
+			return identity, err
+		}
+	}
+	return identity, g.serveRoute(ctx, w, r, identity, route)
+}
+
+func (g *Gateway) serveModels(ctx context.Context, w http.ResponseWriter, r *http.Request, identity authenticator.Identity) error {
+	if r.URL.Path == "/v1/models" || strings.HasPrefix(r.URL.Path, "/v1/models/") {
+		return g.listModels(w, r)
+	}
+	endpoint := decoder.Endpoint(r.URL.Path)
+	switch endpoint {
+	case decoder.ChatCompletions, decoder.Completions, decoder.Embeddings:
+	default:
+		return refuser.New(http.StatusNotFound, refuser.NotFound, "no such path")
+	}
+	if r.Method != http.MethodPost {
+		return refuser.New(http.StatusMethodNotAllowed, refuser.MethodNotAllowed, "the method must be POST")
+	}
+	body, err := g.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	call, err := decoder.Decode(endpoint, body)
+	if err != nil {
+		return err
+	}
+	ctx, end := g.config.Sessions.Begin(ctx, identity)
+	defer end()
+	return g.config.Executor.RunModel(ctx, w, identity, call)
+}
+
+// readBody reads a bounded body within a bounded time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refuser.New(http.StatusRequestEntityTooLarge, refuser.BodyTooLarge, "the body is too large")
+	case err != nil:
+		return nil, refuser.New(http.StatusRequestTimeout, refuser.RequestIncomplete, "the body did not arrive in time")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func (g *Gateway) serveRoute(ctx context.Context, w http.ResponseWriter, r *http.Request, identity authenticator.Identity, route crocushollow.Route) error {
+	body, err := g.readBody(w, r)
+	if err != nil {
+		return err
+	}
+	ctx, end := g.config.Sessions.Begin(ctx, identity)
+	defer end()
+	return g.config.Executor.RunService(ctx, w, identity, executor.ServiceCall{
+		Route:          route,
+		Method:         r.Method,
+		Target:         r.URL.RequestURI(),
+		Header:         passedOn(r.Header),
+		Body:           body,
+		IdempotencyKey: r.Header.Get(idempotencyHeader),
+	})
+}
+
+// idempotencyHeader carries the caller's own ID for a call that must run once.
+const idempotencyHeader = "Idempotency-Key"
+
+// heldBack are the headers that no upstream gets: the caller's credentials,
+// those that concern one connection (RFC 9110, section 7.6.1) and those that
+// the system sets itself.
+var heldBack = []string{
+	"Authorization", "Proxy-Authorization", "Cookie",
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect", "X-Request-Id", "X-Workspace", "X-Priority", "X-Resume-From",
+	"X-Forwarded-For", "X-Forwarded-Host", "X-Forwarded-Proto", "Forwarded", "Traceparent", "Tracestate",
+	"Accept-Encoding",
+}
+
+// passedOn returns the headers of a request that an upstream gets.
+func passedOn(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, field := range header.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range heldBack {
+		passed.Del(name)
+	}
+	return passed
+}
+
+// modelList is the answer about the models in the OpenAI shape.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+	Parent  string `json:"parent,omitempty"`
+}
+
+func (g *Gateway) listModels(w http.ResponseWriter, r *http.Request) error {
+	if r.Method != http.MethodGet {
+		return refuser.New(http.StatusMethodNotAllowed, refuser.MethodNotAllowed, "the method must be GET")
+	}
+	table := g.config.View().State.Table()
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, model := range table.Models() {
+		list.Data = append(list.Data, modelEntry{ID: model.ID, Object: "model", OwnedBy: "crocushollow"})
+	}
+	for _, adapter := range table.Adapters() {
+		list.Data = append(list.Data, modelEntry{ID: adapter.ID, Object: "model", OwnedBy: "crocushollow", Parent: adapter.Model})
+	}
+	id := strings.TrimPrefix(r.URL.Path, "/v1/models")
+	if id == "" {
+		return writeJSON(w, list)
+	}
+	for _, entry := range list.Data {
+		if "/"+entry.ID == id {
+			return writeJSON(w, entry)
+		}
+	}
+	return refuser.New(http.StatusNotFound, refuser.ModelNotFound, "no such model")
+}
+
+func writeJSON(w http.ResponseWriter, answer any) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/transport/messenger/client.go
@@ -0,0 +1,169 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/controller"
+	"github.com/crocushollow/crocushollow/coordination/sharer"
+)
+
+// Bounds of the connections to one peer.
+const (
+	maxIdlePerPeer = 4
+	maxIdleTime    = time.Minute
+	dialTimeout    = 300 * time.Millisecond
+)
+
+// Client calls other instances. It keeps idle connections and closes one whose
+// call has failed, so that a silent connection is used at most once.
+type Client struct {
+	mu   sync.Mutex
+	idle map[string][]idleConn
+}
+
+type idleConn struct {
+	conn  *drpcconn.Conn
+	since time.Time
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{idle: make(map[string][]idleConn)} }
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conns := range c.idle {
+		for _, idle := range conns {
+			_ = idle.conn.Close()
+		}
+		delete(c.idle, address)
+	}
+}
+
+// Probe implements controller.Peers.
+func (c *Client) Probe(ctx context.Context, to crocushollow.Member, request controller.ProbeRequest) (controller.ProbeReply, error) {
+	return invoke[controller.ProbeReply](ctx, c, to.PeerAddress, probeCall, &request)
+}
+
+// Exchange implements controller.Peers.
+func (c *Client) Exchange(ctx context.Context, to crocushollow.Member, exchange sharer.Exchange) (sharer.ExchangeReply, error) {
+	return invoke[sharer.ExchangeReply](ctx, c, to.PeerAddress, exchangeCall, &exchange)
+}
+
+// Fetch implements controller.Peers.
+func (c *Client) Fetch(ctx context.Context, to crocushollow.Member, request controller.FetchRequest) (controller.FetchReply, error) {
+	return invoke[controller.FetchReply](ctx, c, to.PeerAddress, fetchCall, &request)
+}
+
+// Check implements controller.Peers.
+func (c *Client) Check(ctx context.Context, to crocushollow.Member, request controller.CheckRequest) (controller.CheckReply, error) {
+	return invoke[controller.CheckReply](ctx, c, to.PeerAddress, checkCall, &request)
+}
+
+// ReportDemand implements controller.Peers.
+func (c *Client) ReportDemand(ctx context.Context, to crocushollow.Member, report controller.DemandReport) error {
+	_, err := invoke[controller.DemandReply](ctx, c, to.PeerAddress, demandCall, &report)
+	return err
+}
+
+// Publish asks a peer to append a batch.
+func (c *Client) Publish(ctx context.Context, to crocushollow.Member, request controller.PublishRequest) (controller.PublishReply, error) {
+	return invoke[controller.PublishReply](ctx, c, to.PeerAddress, publishCall, &request)
+}
+
+func invoke[Out any](ctx context.Context, c *Client, address, call string, in drpc.Message) (Out, error) {
+	var out Out
+	conn, err := c.take(ctx, address)
+	if err != nil {
+		return out, err
+	}
+	if err := conn.Invoke(ctx, call, encoding{}, in, &out); err != nil {
+		_ = conn.Close()
+		return out, err
+	}
+	c.giveBack(address, conn)
+	return out, nil
+}
+
+// take returns an idle connection or opens one.
+func (c *Client) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	if conn := c.takeIdle(address); conn != nil {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(countingConn{Conn: conn}), nil
+}
+
+func (c *Client) takeIdle(address string) *drpcconn.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.idle[address]
+	for len(conns) > 0 {
+		last := conns[len(conns)-1]
+		conns = conns[:len(conns)-1]
+		c.idle[address] = conns
+		if !isClosed(last.conn) && time.Since(last.since) < maxIdleTime {
+			return last.conn
+		}
+		_ = last.conn.Close()
+	}
+	delete(c.idle, address)
+	return nil
+}
+
+func isClosed(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) giveBack(address string, conn *drpcconn.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[address]) >= maxIdlePerPeer {
+		_ = conn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], idleConn{conn: conn, since: time.Now()})
+}
+
+// bytesMoved counts the bytes sent to and received from peers by this process.
+var bytesMoved atomic.Uint64
+
+// BytesMoved returns the bytes sent to and received from peers by this process.
+func BytesMoved() uint64 { return bytesMoved.Load() }
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesMoved.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesMoved.Add(uint64(n))
+	return n, err
+}
