Keep units of departed instances while an upstream reports them in use

Change: such units stay withheld until the upstream's own report shows room, also after the owner has changed. Conclusion: the report is the end of a use, not a timer.

--- a/cmd/crocushollow/check.go
+++ b/cmd/crocushollow/check.go
@@ -62,9 +62,9 @@
 		model, stream, tokens, content)
 }
 
-// complete asks a model for a whole answer.
-func complete(ctx context.Context, address, key, model, content string, tokens int) (reply, error) {
-	return send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", key, nil, chatBody(model, content, tokens, false))
+// complete asks a model for a whole answer to a short message.
+func complete(ctx context.Context, address, key, model string, tokens int) (reply, error) {
+	return send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", key, nil, chatBody(model, "hello", tokens, false))
 }
 
 // streamed is what a caller got of a stream.
@@ -224,7 +224,7 @@
 }
 
 func (s *demoSite) checkUnknownKey(ctx context.Context) error {
-	got, err := complete(ctx, s.Instances()[0].Callers, "ch-unknown", "letters", "hello", 1)
+	got, err := complete(ctx, s.Instances()[0].Callers, "ch-unknown", "letters", 1)
 	if err != nil {
 		return err
 	}
@@ -239,7 +239,7 @@
 	const attempts, tokens = 20, 60
 	address := s.Instances()[0].Callers
 	for range attempts {
-		got, err := complete(ctx, address, s.keys["trial"], "letters", "hello", tokens)
+		got, err := complete(ctx, address, s.keys["trial"], "letters", tokens)
 		if err != nil {
 			return err
 		}
@@ -251,7 +251,7 @@
 			return fmt.Errorf("status %d, Retry-After %q: %s", got.status, got.header.Get("Retry-After"), got.body)
 		}
 		time.Sleep(time.Duration(after) * time.Second)
-		got, err = complete(ctx, address, s.keys["trial"], "letters", "hello", tokens)
+		got, err = complete(ctx, address, s.keys["trial"], "letters", tokens)
 		if err != nil {
 			return err
 		}
@@ -336,7 +336,7 @@
 
 func awaitRefusal(ctx context.Context, address, key string, since time.Time) error {
 	for time.Since(since) < withdrawalLimit {
-		got, err := complete(ctx, address, key, "letters", "hello", 1)
+		got, err := complete(ctx, address, key, "letters", 1)
 		if err != nil {
 			return err
 		}
--- a/cmd/crocushollow/demo.go
+++ b/cmd/crocushollow/demo.go
@@ -162,7 +162,7 @@
 func (s *demoSite) awaitModel(ctx context.Context, model string) error {
 	for _, instance := range s.Instances() {
 		for {
-			answer, err := complete(ctx, instance.Callers, s.keys["hives"], model, "hello", 1)
+			answer, err := complete(ctx, instance.Callers, s.keys["hives"], model, 1)
 			if err == nil && answer.status == 200 {
 				break
 			}
--- a/cmd/crocushollowd/main.go
+++ b/cmd/crocushollowd/main.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := daemon.Listen(settings.Listen)
+	listeners, err := daemon.Listen(context.Background(), settings.Listen)
 	if err != nil {
 		return err
 	}
--- a/coordination/follower/replayer.go
+++ b/coordination/follower/replayer.go
@@ -77,6 +77,7 @@
 	}
 	return applied
 }
+
 func (r *Replayer) apply(entry Entry) Applied {
 	r.keep(entry)
 	var batch crocushollow.Batch
--- a/coordination/sharer/owner.go
+++ b/coordination/sharer/owner.go
@@ -172,7 +172,7 @@
 func (o *Owner) Tick(now time.Time) {
 	for _, l := range o.ledgers {
 		l.recover(now)
-		l.freeLost(now)
+		o.freeLost(l, now)
 		for key, pool := range l.pools {
 			o.follow(l, key, pool, now)
 		}
@@ -203,25 +203,48 @@
 		return
 	}
 	l.recovered, l.recoveredAt = true, now
-	for _, pool := range l.pools {
+	for key, pool := range l.pools {
 		pool.Reclaim(now)
+		l.withhold(key, pool, now)
 	}
 }
 
-func (l *ledger) freeLost(now time.Time) {
+// withhold keeps the units that no member holds from being granted until the
+// upstream's report shows that no departed member uses them.
+func (l *ledger) withhold(key limiter.ResourceKey, pool *limiter.Pool, now time.Time) {
+	if l.first || drainOf(key) == 0 {
+		return
+	}
+	if units := pool.Withhold(now); units > 0 {
+		l.lost = append(l.lost, lostUnits{key: key, units: units, until: l.fencedUntil.Add(drainOf(key))})
+	}
+}
+
+func (o *Owner) freeLost(l *ledger, now time.Time) {
 	kept := l.lost[:0]
 	for _, lost := range l.lost {
-		if now.Before(lost.until) {
+		pool, found := l.pools[lost.key]
+		switch {
+		case !found:
+		case now.Before(lost.until) || o.isStillUsed(pool, lost):
 			kept = append(kept, lost)
-			continue
-		}
-		if pool, found := l.pools[lost.key]; found {
+		default:
 			pool.ReturnLost(lost.units, now)
 		}
 	}
 	l.lost = kept
 }
 
+// isStillUsed reports whether an upstream's own report leaves no room for lost
+// units. The requests of a paused instance go on at the upstream, however long
+// the pause.
+func (o *Owner) isStillUsed(pool *limiter.Pool, lost lostUnits) bool {
+	if lost.key.Kind != limiter.UpstreamFlight {
+		return false
+	}
+	return o.config.Health.Status(lost.key.ID).InFlight > max(pool.Resource().Total-lost.units, 0)
+}
+
 // Handle answers an exchange.
 func (o *Owner) Handle(exchange Exchange, now time.Time) ExchangeReply {
 	var reply ExchangeReply
@@ -304,6 +327,7 @@
 	}
 	pool := o.openPool(l, resource, now)
 	l.pools[key] = pool
+	o.freeLost(l, now)
 	return pool
 }
 
@@ -317,7 +341,9 @@
 	}
 	// Nobody has used the limit since the term began.
 	refilled := resource.Rate.PerSecond * now.Sub(l.recoveredAt).Seconds()
-	return limiter.NewPool(resource, min(refilled, resource.Rate.Burst), now)
+	pool := limiter.NewPool(resource, min(refilled, resource.Rate.Burst), now)
+	l.withhold(resource.Key, pool, now)
+	return pool
 }
 
 func latest(a, b time.Time) time.Time {
--- /dev/null
+++ b/coordination/sharer/sharer_test.go
@@ -0,0 +1,368 @@
+package sharer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/coordination/claimer"
+	"github.com/crocushollow/crocushollow/coordination/sharer"
+	"github.com/crocushollow/crocushollow/standin/prover"
+	"github.com/crocushollow/crocushollow/state/applier"
+	"github.com/crocushollow/crocushollow/state/detector"
+	"github.com/crocushollow/crocushollow/state/limiter"
+)
+
+func TestSharer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sharer")
+}
+
+const (
+	lease     = time.Second
+	rate      = 1000.0
+	burst     = 2000.0
+	maxFlight = 6
+	workspace = "w"
+	upstream  = "u"
+)
+
+var (
+	rateKey   = limiter.ResourceKey{Kind: limiter.TokenRate, ID: workspace}
+	flightKey = limiter.ResourceKey{Kind: limiter.UpstreamFlight, ID: upstream}
+)
+
+// fleet is a few instances with a shared log and a network that delays, drops,
+// repeats and reorders messages.
+type fleet struct {
+	now      time.Time
+	fence    time.Duration
+	log      []crocushollow.Batch
+	nodes    []*node
+	network  []message
+	admitted []admission
+	lives    int
+}
+
+type admission struct {
+	at     time.Time
+	tokens float64
+}
+
+type node struct {
+	fleet   *fleet
+	id      string
+	life    crocushollow.Life
+	state   *applier.State
+	freshAt time.Time
+	parts   *limiter.Registry
+	health  *detector.Detector
+	holder  *sharer.Holder
+	owner   *sharer.Owner
+	flights int
+	// paused nodes neither read the log nor send messages when the fleet
+	// settles. They still use what they hold while they are assured.
+	paused bool
+}
+
+// message is an exchange or an answer on its way.
+type message struct {
+	from, to *node
+	life     crocushollow.Life
+	exchange *sharer.Exchange
+	reply    *sharer.ExchangeReply
+}
+
+func newFleet(size int, fence time.Duration) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), fence: fence}
+	rows := []crocushollow.Row{
+		crocushollow.AvailabilityZone{ID: "z", InService: true},
+		crocushollow.Workspace{ID: workspace, TokenRate: rate, TokenBurst: burst, Weight: 1},
+		crocushollow.Upstream{
+			ID: upstream, Kind: crocushollow.ServiceUpstream, Address: "127.0.0.1:1", AvailabilityZone: "z",
+			MaxInFlight: maxFlight, ColdMaxInFlight: 1,
+		},
+	}
+	var record crocushollow.Record
+	for _, row := range rows {
+		record.Edits = append(record.Edits, crocushollow.Edit{
+			ID: crocushollow.NewID(), Ref: row.Ref(), Value: crocushollow.NewRowValue(row),
+		})
+	}
+	f.publish(record)
+	for i := range size {
+		n := &node{fleet: f, id: fmt.Sprintf("n%d", i), state: applier.New()}
+		f.nodes = append(f.nodes, n)
+		n.begin()
+	}
+	for _, n := range f.nodes {
+		n.sync()
+	}
+	return f
+}
+
+func (f *fleet) publish(record crocushollow.Record) {
+	record.ID = crocushollow.NewID()
+	f.log = append(f.log, crocushollow.Batch{Version: 1, Records: []crocushollow.Record{record}})
+}
+
+// begin starts a new life and joins.
+func (n *node) begin() {
+	n.fleet.lives++
+	n.life = crocushollow.Life{Instance: n.id, Incarnation: crocushollow.Incarnation(n.fleet.lives)}
+	n.parts = limiter.NewRegistry()
+	n.parts.Bucket(rateKey, limiter.Rate{PerSecond: rate, Burst: burst}, n.fleet.now)
+	n.parts.Semaphore(flightKey)
+	n.health = detector.New(func() time.Time { return n.fleet.now })
+	n.holder = sharer.NewHolder(n.life, n.parts, n.health)
+	n.owner = sharer.NewOwner(sharer.OwnerConfig{Self: n.life, Fence: n.fleet.fence, Health: n.health})
+	n.owner.Update(n.state, n.fleet.now)
+	n.flights = 0
+	n.fleet.publish(crocushollow.Record{Author: n.life, Joins: []crocushollow.Member{{ID: n.id, Incarnation: n.life.Incarnation}}})
+}
+
+// report tells a node how many requests the upstream has in flight.
+func (n *node) report() {
+	flights := 0
+	for _, other := range n.fleet.nodes {
+		flights += other.flights
+	}
+	n.health.Reported(upstream, detector.Status{InFlight: int64(flights)})
+}
+
+// sync reads the log to its end. A node that finds itself departed begins a
+// new life.
+func (n *node) sync() {
+	for offset := n.state.Offset(); offset < uint64(len(n.fleet.log)); offset = n.state.Offset() {
+		n.state, _ = n.state.WithBatch(offset, n.fleet.log[offset])
+		if n.state.IsDeparted(n.life) {
+			n.begin()
+		}
+		n.report()
+		n.owner.Update(n.state, n.fleet.now)
+	}
+	n.freshAt = n.fleet.now
+}
+
+func (n *node) isAssured() bool {
+	return n.state.IsJoined(n.life) && n.fleet.now.Before(n.freshAt.Add(lease))
+}
+
+func (n *node) claim() {
+	claims := claimer.Claims(n.state, n.life, func(m crocushollow.Member) bool { return m.ID == n.id })
+	if len(claims) > 0 {
+		n.fleet.publish(crocushollow.Record{Author: n.life, Claims: claims})
+	}
+}
+
+func (n *node) poll() {
+	for _, envelope := range n.holder.Poll(n.state, n.fleet.now) {
+		for _, to := range n.fleet.nodes {
+			if to.id == envelope.To.ID {
+				exchange := envelope.Exchange
+				n.fleet.network = append(n.fleet.network, message{from: n, to: to, life: envelope.To.Life(), exchange: &exchange})
+			}
+		}
+	}
+}
+
+// deliver hands over one message; a repeated one stays on its way.
+func (f *fleet) deliver(index int, repeat bool) {
+	m := f.network[index]
+	if !repeat {
+		f.network = append(f.network[:index], f.network[index+1:]...)
+	}
+	if m.life != m.to.life {
+		return
+	}
+	if m.exchange != nil {
+		reply := m.to.owner.Handle(*m.exchange, f.now)
+		f.network = append(f.network, message{from: m.to, to: m.from, life: m.exchange.From, reply: &reply})
+		return
+	}
+	m.to.holder.Accept(*m.reply, f.now)
+}
+
+// settle lets everything happen without faults for some rounds.
+func (f *fleet) settle(rounds int, round time.Duration) {
+	for range rounds {
+		f.now = f.now.Add(round)
+		for _, n := range f.nodes {
+			if n.paused {
+				continue
+			}
+			n.sync()
+			n.claim()
+			n.report()
+			n.owner.Tick(f.now)
+			n.poll()
+		}
+		for range len(f.network) * 2 {
+			if len(f.network) > 0 {
+				f.deliver(0, false)
+			}
+		}
+	}
+}
+
+func (n *node) take(tokens float64) bool {
+	bucket := n.parts.Bucket(rateKey, limiter.Rate{}, n.fleet.now)
+	if !n.isAssured() {
+		return false
+	}
+	if !bucket.Take(tokens, n.fleet.now) {
+		n.holder.Want(rateKey, bucket.Shortfall(tokens, n.fleet.now))
+		return false
+	}
+	n.fleet.admitted = append(n.fleet.admitted, admission{at: n.fleet.now, tokens: tokens})
+	return true
+}
+
+func (n *node) enter() {
+	if !n.isAssured() {
+		return
+	}
+	if !n.parts.Semaphore(flightKey).Acquire() {
+		n.holder.Want(flightKey, 1)
+		return
+	}
+	n.flights++
+}
+
+func (n *node) leave() {
+	if n.flights > 0 {
+		n.flights--
+		n.parts.Semaphore(flightKey).Release()
+	}
+}
+
+// check is the oracle: in every window the admitted tokens are at most the
+// burst and the refill, and never more requests are in flight than allowed.
+func (f *fleet) check(t *rapid.T) {
+	last := len(f.admitted) - 1
+	var sum float64
+	for i := last; i >= 0; i-- {
+		sum += f.admitted[i].tokens
+		window := f.admitted[last].at.Sub(f.admitted[i].at).Seconds()
+		if allowed := burst + rate*window; sum > allowed+1e-6 {
+			t.Fatalf("%.0f tokens admitted in %.2f s, allowed %.0f", sum, window, allowed)
+		}
+	}
+	flights := 0
+	for _, n := range f.nodes {
+		flights += n.flights
+	}
+	if flights > maxFlight {
+		t.Fatalf("%d requests in flight, allowed %d", flights, maxFlight)
+	}
+}
+
+// limitsHold drives a fleet whose owners wait for the given fence.
+func limitsHold(fence time.Duration) func(*rapid.T) {
+	return func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 4).Draw(t, "size"), fence)
+		f.settle(rapid.SampledFrom([]int{40, 0}).Draw(t, "settled rounds"), 50*time.Millisecond)
+		anyNode := rapid.SampledFrom(f.nodes)
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			},
+			"sync":  func(t *rapid.T) { anyNode.Draw(t, "node").sync() },
+			"claim": func(t *rapid.T) { anyNode.Draw(t, "node").claim() },
+			"poll":  func(t *rapid.T) { anyNode.Draw(t, "node").poll() },
+			"tick": func(t *rapid.T) {
+				n := anyNode.Draw(t, "node")
+				n.report()
+				n.owner.Tick(f.now)
+			},
+			"deliver": func(t *rapid.T) {
+				if len(f.network) == 0 {
+					t.Skip("nothing on its way")
+				}
+				f.deliver(rapid.IntRange(0, len(f.network)-1).Draw(t, "message"), rapid.Bool().Draw(t, "repeat"))
+			},
+			"drop": func(t *rapid.T) {
+				if len(f.network) == 0 {
+					t.Skip("nothing on its way")
+				}
+				i := rapid.IntRange(0, len(f.network)-1).Draw(t, "message")
+				f.network = append(f.network[:i], f.network[i+1:]...)
+			},
+			"settle": func(*rapid.T) { f.settle(3, 50*time.Millisecond) },
+			"pause": func(t *rapid.T) {
+				n := anyNode.Draw(t, "node")
+				n.paused = !n.paused
+			},
+			"depart": func(t *rapid.T) {
+				n := anyNode.Draw(t, "node")
+				n.paused = rapid.SampledFrom([]bool{true, false}).Draw(t, "paused")
+				f.publish(crocushollow.Record{Departures: []crocushollow.Life{n.life}})
+			},
+			"crash": func(t *rapid.T) { anyNode.Draw(t, "node").begin() },
+			"give back": func(t *rapid.T) {
+				anyNode.Draw(t, "node").holder.GiveBack()
+			},
+			"take": func(t *rapid.T) {
+				anyNode.Draw(t, "node").take(float64(rapid.IntRange(1, 1500).Draw(t, "tokens")))
+			},
+			"drain": func(*rapid.T) {
+				for _, n := range f.nodes {
+					for n.take(burst / 40) {
+					}
+				}
+			},
+			"enter": func(t *rapid.T) {
+				n := anyNode.Draw(t, "node")
+				for range rapid.SampledFrom([]int{maxFlight, 1}).Draw(t, "requests") {
+					n.enter()
+					f.settle(1, time.Millisecond)
+					n.enter()
+				}
+			},
+			"leave": func(t *rapid.T) { anyNode.Draw(t, "node").leave() },
+			"":      f.check,
+		})
+	}
+}
+
+var _ = Describe("limits over all instances", func() {
+	It("hold under lost, late and repeated messages, departures and pauses", func() {
+		prover.Hold(GinkgoT(), limitsHold(lease))
+	})
+
+	It("are broken when units of a departed instance are used at once", func() {
+		Expect(prover.Refute(limitsHold(-2 * lease))).NotTo(BeEmpty())
+	})
+
+	It("let one of eight instances use 95% of the rate", func() {
+		const requests, requestRate = 4000, 100
+		f := newFleet(8, lease)
+		f.settle(60, 50*time.Millisecond)
+		refused := 0
+		for range requests {
+			f.now = f.now.Add(time.Second / requestRate)
+			if !f.takeBorrowing(f.nodes[0], 0.95*rate/requestRate) {
+				refused++
+			}
+		}
+		Expect(float64(refused) / requests).To(BeNumerically("<=", 0.001))
+	})
+})
+
+// takeBorrowing takes tokens like a request: it waits for the owner's decision
+// a few times before it gives up.
+func (f *fleet) takeBorrowing(n *node, tokens float64) bool {
+	const roundTrip, tries = 3 * time.Millisecond, 5
+	for range tries {
+		if n.take(tokens) {
+			return true
+		}
+		f.settle(1, roundTrip)
+	}
+	return false
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -252,12 +252,13 @@
 }
 
 // Listen opens the listeners of the settings.
-func Listen(settings ListenSettings) (Listeners, error) {
+func Listen(ctx context.Context, settings ListenSettings) (Listeners, error) {
+	var config net.ListenConfig
 	var listeners Listeners
 	var errs [3]error
-	listeners.Callers, errs[0] = net.Listen("tcp", settings.Callers)
-	listeners.Peers, errs[1] = net.Listen("tcp", settings.Peers)
-	listeners.Operators, errs[2] = net.Listen("tcp", settings.Operators)
+	listeners.Callers, errs[0] = config.Listen(ctx, "tcp", settings.Callers)
+	listeners.Peers, errs[1] = config.Listen(ctx, "tcp", settings.Peers)
+	listeners.Operators, errs[2] = config.Listen(ctx, "tcp", settings.Operators)
 	if err := errors.Join(errs[:]...); err != nil {
 		listeners.Close()
 		return Listeners{}, err
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -54,7 +54,7 @@
 	Weights string
 	// Upstreams lists the services that could take the request.
 	Upstreams []string
-	Class   scheduler.Class
+	Class     scheduler.Class
 	// Tokens is the expected cost.
 	Tokens float64
 	// Prefix is a hash of the beginning of the prompt.
--- a/standin/stager/stager.go
+++ b/standin/stager/stager.go
@@ -169,7 +169,8 @@
 
 // serve runs a handler on a port of its own.
 func (s *Site) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", loopback)
+	var config net.ListenConfig
+	listener, err := config.Listen(s.ctx, "tcp", loopback)
 	if err != nil {
 		return "", err
 	}
@@ -214,7 +215,7 @@
 // StartInstance runs an instance in this process.
 func (s *Site) StartInstance(id, zone string) (*Instance, error) {
 	settings := s.SettingsOf(id, zone)
-	listeners, err := daemon.Listen(daemon.ListenSettings{Callers: loopback, Peers: loopback, Operators: loopback})
+	listeners, err := daemon.Listen(s.ctx, daemon.ListenSettings{Callers: loopback, Peers: loopback, Operators: loopback})
 	if err != nil {
 		return nil, err
 	}
--- a/state/encoder/encoder.go
+++ b/state/encoder/encoder.go
@@ -13,7 +13,7 @@
 const (
 	// MaxBytes is the largest message that is decoded. The state of a whole
 	// fleet in one snapshot is the largest.
-	MaxBytes = 64 << 20
+	MaxBytes    = 64 << 20
 	maxNesting  = 16
 	maxElements = 1 << 20
 )
--- a/state/limiter/pool.go
+++ b/state/limiter/pool.go
@@ -144,6 +144,13 @@
 	return units
 }
 
+// Withhold makes all free units lost and returns their number.
+func (p *Pool) Withhold(now time.Time) int64 {
+	units := p.store.Give(p.store.Units(), now).Units
+	p.lost += units
+	return units
+}
+
 // ReturnLost makes lost units free again.
 func (p *Pool) ReturnLost(units int64, now time.Time) {
 	p.lost = max(p.lost-units, 0)
--- a/state/reserver/reserver.go
+++ b/state/reserver/reserver.go
@@ -129,6 +129,7 @@
 		l.advanceResident(in, residency, p, step)
 	case crocushollow.Unloading:
 		l.advanceUnloading(in, residency, p, step)
+	case crocushollow.Absent:
 	}
 }
 
