--- /dev/null
+++ b/protocol/decoder/decoder_test.go
@@ -0,0 +1,80 @@
+package decoder_test
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/protocol/decoder"
+	"github.com/crocushollow/crocushollow/protocol/refuser"
+	"github.com/crocushollow/crocushollow/state/scheduler"
+)
+
+func TestDecoder(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "decoder")
+}
+
+var _ = Describe("Decode", func() {
+	It("reads what routing and accounting need", func() {
+		call, err := decoder.Decode(decoder.ChatCompletions,
+			[]byte(`{"model":"m","stream":true,"max_tokens":7,"service_tier":"flex","messages":[{"role":"user","content":"hi"}]}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(call.Model).To(Equal("m"))
+		Expect(call.Stream).To(BeTrue())
+		Expect(call.MaxTokens).To(Equal(int64(7)))
+		Expect(call.Class).To(Equal(scheduler.Batch))
+	})
+
+	DescribeTable("refuses bad bodies as not run", func(endpoint decoder.Endpoint, body string) {
+		_, err := decoder.Decode(endpoint, []byte(body))
+		var refusal *refuser.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Status).To(Equal(400))
+		Expect(string(refusal.Outcome)).To(Equal("not_run"))
+	},
+		Entry("not JSON", decoder.ChatCompletions, `{`),
+		Entry("no object", decoder.ChatCompletions, `[1]`),
+		Entry("no model", decoder.ChatCompletions, `{"messages":[]}`),
+		Entry("no prompt", decoder.Completions, `{"model":"m"}`),
+		Entry("null input", decoder.Embeddings, `{"model":"m","input":null}`),
+		Entry("no output", decoder.Completions, `{"model":"m","prompt":"x","max_tokens":0}`),
+		Entry("negative output", decoder.Completions, `{"model":"m","prompt":"x","max_tokens":-1}`),
+	)
+
+	It("sets the output bound in the body as well", func() {
+		call, err := decoder.Decode(decoder.Completions, []byte(` { "model":"m","prompt":"x"}`))
+		Expect(err).NotTo(HaveOccurred())
+		call = call.WithDefaultMaxTokens(50)
+		var body struct {
+			MaxTokens int    `json:"max_tokens"`
+			Model     string `json:"model"`
+		}
+		Expect(json.Unmarshal(call.Body, &body)).To(Succeed())
+		Expect(body.MaxTokens).To(Equal(50))
+		Expect(body.Model).To(Equal("m"))
+		Expect(call.Tokens()).To(Equal(int64(51)))
+	})
+})
+
+// FuzzDecode feeds the decoder of callers' requests.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","messages":[]}`, `{"model":"m","prompt":"x","max_tokens":1}`, `{"input":[],"model":""}`, `{`, ``,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		call, err := decoder.Decode(decoder.Completions, body)
+		if err != nil {
+			return
+		}
+		bounded := call.WithDefaultMaxTokens(5)
+		if !json.Valid(bounded.Body) || bounded.MaxTokens <= 0 {
+			t.Fatalf("%q became %q", body, bounded.Body)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/relayer/relayer_test.go
@@ -0,0 +1,111 @@
+package relayer_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/protocol/relayer"
+)
+
+func TestRelayer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relayer")
+}
+
+type caller struct {
+	bytes.Buffer
+	flushes int
+	err     error
+}
+
+func (c *caller) Write(p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err
+	}
+	return c.Buffer.Write(p)
+}
+
+func (c *caller) Flush() error { c.flushes++; return nil }
+
+const (
+	events = "data: {\"a\":1}\n\ndata: {\"a\":2}\n\n"
+	usage  = "data: {\"usage\":{\"total_tokens\":9}}\n\n"
+	done   = "data: [DONE]\n\n"
+)
+
+var _ = Describe("Relay", func() {
+	var out *caller
+	var progress relayer.Progress
+
+	BeforeEach(func() { out, progress = &caller{}, relayer.Progress{} })
+
+	It("passes a whole stream on, however it is cut into reads", func() {
+		text := events + ": keep-alive\n\n" + usage + done
+		Expect(relayer.New().Run(iotest.OneByteReader(strings.NewReader(text)), out, &progress)).To(Succeed())
+		Expect(out.String()).To(Equal(text))
+		Expect(progress.Events).To(Equal(int64(3)))
+		Expect(progress.Usage.TotalTokens).To(Equal(int64(9)))
+		Expect(progress.Done).To(BeTrue())
+	})
+
+	It("passes on only whole events of a broken stream, so that it can be resumed", func() {
+		relay := relayer.New()
+		Expect(relay.Run(strings.NewReader(events+"data: {\"a\":3"), out, &progress)).To(MatchError(relayer.ErrTruncated))
+		Expect(out.String()).To(Equal(events))
+		Expect(relay.Run(strings.NewReader("data: {\"a\":3}\n\n"+done), out, &progress)).To(Succeed())
+		Expect(out.String()).To(Equal(events + "data: {\"a\":3}\n\n" + done))
+	})
+
+	It("tells the caller's failure from the upstream's", func() {
+		out.err = errors.New("gone")
+		var callerErr *relayer.CallerError
+		Expect(errors.As(relayer.New().Run(strings.NewReader(events), out, &progress), &callerErr)).To(BeTrue())
+	})
+
+	It("bounds the size of an event", func() {
+		endless := io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", 2<<20)))
+		Expect(relayer.New().Run(endless, out, &progress)).To(MatchError(relayer.ErrEventTooLarge))
+	})
+})
+
+// BenchmarkRelay passes on streams of 10,000 chunks, one chunk a read.
+func BenchmarkRelay(b *testing.B) {
+	const chunks = 10_000
+	chunk := []byte("data: {\"id\":\"0123456789abcdef\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"token \"}}]}\n\n")
+	relay := relayer.New()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		var progress relayer.Progress
+		upstream := &chunkReader{chunk: chunk, left: chunks}
+		if err := relay.Run(upstream, &discard{}, &progress); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(chunks*b.N)/b.Elapsed().Seconds(), "chunks/s")
+}
+
+type chunkReader struct {
+	chunk []byte
+	left  int
+}
+
+func (r *chunkReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return copy(p, done), nil
+	}
+	r.left--
+	return copy(p, r.chunk), nil
+}
+
+type discard struct{}
+
+func (*discard) Write(p []byte) (int, error) { return len(p), nil }
+func (*discard) Flush() error                { return nil }
--- /dev/null
+++ b/state/applier/applier_test.go
@@ -0,0 +1,211 @@
+package applier_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/standin/prover"
+	"github.com/crocushollow/crocushollow/state/applier"
+	"github.com/crocushollow/crocushollow/state/encoder"
+)
+
+func TestApplier(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "applier")
+}
+
+func member(id string, incarnation crocushollow.Incarnation) crocushollow.Member {
+	return crocushollow.Member{ID: id, Incarnation: incarnation}
+}
+
+// reader applies records one by one.
+type reader struct {
+	state *applier.State
+}
+
+func (r *reader) apply(record crocushollow.Record) []crocushollow.EditResult {
+	if record.ID.IsZero() {
+		record.ID = crocushollow.NewID()
+	}
+	var results []crocushollow.EditResult
+	r.state, results = r.state.WithBatch(r.state.Offset(), crocushollow.Batch{
+		Version: crocushollow.BatchVersion, Records: []crocushollow.Record{record},
+	})
+	return results
+}
+
+var _ = Describe("State", func() {
+	var r *reader
+	one, two := member("one", 1), member("two", 2)
+
+	BeforeEach(func() {
+		r = &reader{state: applier.New()}
+		r.apply(crocushollow.Record{Joins: []crocushollow.Member{one, two}})
+	})
+
+	It("gives a shard to the first claim that follows its current one", func() {
+		claim := func(m crocushollow.Member, follows uint64) {
+			r.apply(crocushollow.Record{Author: m.Life(), Claims: []crocushollow.Claim{{Shard: 3, Holder: m.Life(), Follows: follows}}})
+		}
+		claim(one, 0)
+		claim(two, 0)
+		term := r.state.Holding(3).Term
+		Expect(r.state.IsHolder(one.Life(), 3)).To(BeTrue())
+		claim(two, term)
+		Expect(r.state.IsHolder(one.Life(), 3)).To(BeTrue(), "the holder is still a member")
+		r.apply(crocushollow.Record{Departures: []crocushollow.Life{one.Life()}})
+		Expect(r.state.IsVacant(3)).To(BeTrue())
+		claim(two, term)
+		Expect(r.state.IsHolder(two.Life(), 3)).To(BeTrue())
+		Expect(r.state.Holding(3).Term).To(BeNumerically(">", term))
+	})
+
+	It("does not let a departed life join, order or claim", func() {
+		r.apply(crocushollow.Record{Departures: []crocushollow.Life{one.Life()}})
+		r.apply(crocushollow.Record{Joins: []crocushollow.Member{one}})
+		Expect(r.state.IsJoined(one.Life())).To(BeFalse())
+		key := crocushollow.CallKey{Workspace: "w"}
+		r.apply(crocushollow.Record{Author: one.Life(), CallClaims: []crocushollow.CallClaim{{Key: key, Runner: one.Life()}}})
+		_, found := r.state.Call(key)
+		Expect(found).To(BeFalse())
+	})
+
+	It("applies a record once that is appended twice, also when the row is gone in between", func() {
+		record := crocushollow.Record{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a", 1)}}
+		Expect(r.apply(record)[0].Err).NotTo(HaveOccurred())
+		ref := record.Edits[0].Ref
+		gone := crocushollow.Edit{ID: crocushollow.NewID(), Ref: ref, Base: r.state.Table().Entry(ref).Revision, Delete: true}
+		Expect(r.apply(crocushollow.Record{Edits: []crocushollow.Edit{gone}})[0].Err).NotTo(HaveOccurred())
+		Expect(r.apply(record)).To(BeEmpty())
+		Expect(r.state.Table().Entry(ref).Revision).To(BeZero())
+	})
+
+	It("keeps the first claim of a call and frees it only when it has not run", func() {
+		key := crocushollow.CallKey{Workspace: "w"}
+		first := crocushollow.CallClaim{Key: key, Attempt: crocushollow.NewID(), Runner: one.Life()}
+		second := crocushollow.CallClaim{Key: key, Attempt: crocushollow.NewID(), Runner: two.Life()}
+		r.apply(crocushollow.Record{CallClaims: []crocushollow.CallClaim{first, second}})
+		call, _ := r.state.Call(key)
+		Expect(call.Claim.Attempt).To(Equal(first.Attempt))
+		r.apply(crocushollow.Record{CallResults: []crocushollow.CallResult{{Key: key, Attempt: second.Attempt, NotRun: true}}})
+		_, found := r.state.Call(key)
+		Expect(found).To(BeTrue())
+		r.apply(crocushollow.Record{CallResults: []crocushollow.CallResult{{Key: key, Attempt: first.Attempt, NotRun: true}}})
+		_, found = r.state.Call(key)
+		Expect(found).To(BeFalse())
+	})
+
+	It("skips a batch that it cannot read and goes on", func() {
+		before := r.state.Table()
+		r.state = r.state.WithSkipped(r.state.Offset())
+		Expect(r.state.Table()).To(BeIdenticalTo(before))
+		Expect(r.apply(crocushollow.Record{Edits: []crocushollow.Edit{add("a", 1)}})[0].Err).NotTo(HaveOccurred())
+	})
+
+	It("comes out of a snapshot as it went in", func() {
+		prover.Hold(GinkgoT(), func(t *rapid.T) {
+			direct := &reader{state: applier.New()}
+			resumed := &reader{}
+			steps := rapid.IntRange(1, 30).Draw(t, "steps")
+			cut := rapid.IntRange(0, steps-1).Draw(t, "snapshot after")
+			for i := range steps {
+				record := drawRecord(t)
+				direct.apply(record)
+				if resumed.state != nil {
+					resumed.apply(record)
+				}
+				if i == cut {
+					resumed.state = throughSnapshot(t, direct.state)
+				}
+			}
+			if want, got := mustEncode(t, direct.state), mustEncode(t, resumed.state); len(want) != len(got) {
+				t.Fatalf("a reader that began with a snapshot has another state")
+			}
+		})
+	})
+})
+
+func add(id string, rate int64) crocushollow.Edit {
+	row := crocushollow.Workspace{ID: id, TokenRate: rate, TokenBurst: 1, Weight: 1}
+	return crocushollow.Edit{ID: crocushollow.NewID(), Ref: row.Ref(), Value: crocushollow.NewRowValue(row)}
+}
+
+// drawRecord draws a record about few enough things that records collide.
+func drawRecord(t *rapid.T) crocushollow.Record {
+	id := fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "id"))
+	life := crocushollow.Life{Instance: id, Incarnation: crocushollow.Incarnation(rapid.IntRange(1, 3).Draw(t, "incarnation"))}
+	follows := rapid.Uint64Range(0, 5).Draw(t, "follows")
+	record := crocushollow.Record{ID: crocushollow.NewID(), Author: life}
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
+	case 0:
+		record.Joins = []crocushollow.Member{{ID: id, Incarnation: life.Incarnation}}
+	case 1:
+		record.Departures = []crocushollow.Life{life}
+	case 2:
+		record.Claims = []crocushollow.Claim{{Shard: 1, Holder: life, Follows: follows}}
+	case 3:
+		edit := add(id, 1)
+		edit.Base = follows
+		record.Edits = []crocushollow.Edit{edit}
+	case 4:
+		record.CallClaims = []crocushollow.CallClaim{{Key: crocushollow.CallKey{Workspace: id}, Runner: life}}
+	case 5:
+		record.CallResults = []crocushollow.CallResult{{Key: crocushollow.CallKey{Workspace: id}, NotRun: follows > 2}}
+	case 6:
+		record.Drains = []crocushollow.Life{life}
+	}
+	return record
+}
+
+func throughSnapshot(t *rapid.T, state *applier.State) *applier.State {
+	parts, err := state.Split()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var assembler applier.Assembler
+	for _, part := range parts {
+		restored, err := assembler.Add(part)
+		if err == nil {
+			return restored
+		}
+		if !errors.Is(err, applier.ErrIncomplete) {
+			t.Fatal(err)
+		}
+	}
+	t.Fatal("snapshot never complete")
+	return nil
+}
+
+func mustEncode(t *rapid.T, state *applier.State) []byte {
+	encoded, err := state.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// FuzzBatch feeds the decoder of log entries.
+func FuzzBatch(f *testing.F) {
+	valid, err := encoder.Encode(crocushollow.Batch{Version: 1, Records: []crocushollow.Record{
+		{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a", 1)}, Joins: []crocushollow.Member{member("one", 1)}},
+	}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid)
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0x00})
+	f.Add(valid[:len(valid)/2])
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var batch crocushollow.Batch
+		if encoder.Decode(data, &batch) == nil {
+			applier.New().WithBatch(0, batch)
+		}
+	})
+}
--- a/state/balancer/balancer.go
+++ b/state/balancer/balancer.go
@@ -54,36 +54,40 @@
 
 // Choose implements Policy.
 func (Affinity) Choose(candidates []Candidate, prefix uint64) int {
-	preferred := rankFirst(candidates, prefix)
 	best, bestCost := -1, math.Inf(1)
+	first, firstRank := -1, uint64(0)
 	for i := range candidates {
 		c := &candidates[i]
+		rank := Mix(c.Hash, prefix)
+		if first < 0 || rank > firstRank {
+			first, firstRank = i, rank
+		}
 		if !c.Free {
 			continue
 		}
-		cost := c.Load + spread*float64(Mix(c.Hash, prefix+1)>>40)/(1<<24)
-		if i == preferred {
-			cost -= affinityGain
-		}
-		if c.Local {
-			cost -= localGain
-		}
-		if cost < bestCost {
+		if cost := c.cost(rank); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
+	if first >= 0 && candidates[first].Free && candidates[first].cost(firstRank)-affinityGain < bestCost {
+		return first
+	}
 	return best
 }
 
-func rankFirst(candidates []Candidate, prefix uint64) int {
-	first := -1
-	var highest uint64
-	for i := range candidates {
-		if rank := Mix(candidates[i].Hash, prefix); first < 0 || rank > highest {
-			first, highest = i, rank
-		}
+// spreadScale turns the low bits of a rank into a fraction of spread.
+const (
+	spreadMask  = 1<<16 - 1
+	spreadScale = spread / (1 << 16)
+)
+
+// cost is the load corrected by the zone and the tie-break.
+func (c *Candidate) cost(rank uint64) float64 {
+	cost := c.Load + spreadScale*float64(rank&spreadMask)
+	if c.Local {
+		cost -= localGain
 	}
-	return first
+	return cost
 }
 
 // LeastLoaded chooses the free candidate with the least load. It is a baseline.
--- /dev/null
+++ b/state/limiter/limiter_test.go
@@ -0,0 +1,112 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/state/limiter"
+)
+
+func TestLimiter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limiter")
+}
+
+var (
+	start = time.Unix(1000, 0)
+	rate  = limiter.Rate{PerSecond: 100, Burst: 200}
+)
+
+func full(units int64) *limiter.Bucket {
+	bucket := limiter.NewBucket(rate, start)
+	bucket.Receive(limiter.Grant{Units: units, Level: rate.Burst}, start)
+	return bucket
+}
+
+var _ = Describe("Bucket", func() {
+	It("refills at its part of the rate up to its part of the burst", func() {
+		bucket := full(limiter.BucketUnits / 2)
+		Expect(bucket.Level(start)).To(Equal(100.0))
+		Expect(bucket.Take(100, start)).To(BeTrue())
+		Expect(bucket.Take(1, start)).To(BeFalse())
+		Expect(bucket.Level(start.Add(time.Second))).To(BeNumerically("~", 50))
+		Expect(bucket.Level(start.Add(time.Hour))).To(BeNumerically("~", 100))
+	})
+
+	It("keeps the sum of levels when units move", func() {
+		giver, taker := full(limiter.BucketUnits), limiter.NewBucket(rate, start)
+		grant := giver.Give(limiter.BucketUnits/4, start)
+		taker.Receive(grant, start)
+		Expect(giver.Level(start) + taker.Level(start)).To(BeNumerically("~", rate.Burst))
+		Expect(giver.Units() + taker.Units()).To(Equal(limiter.BucketUnits))
+	})
+
+	It("goes into debt for tokens used beyond the charge and pays it back", func() {
+		bucket := full(limiter.BucketUnits)
+		Expect(bucket.Take(200, start)).To(BeTrue())
+		bucket.Settle(200, 250, start)
+		Expect(bucket.Take(1, start)).To(BeFalse())
+		Expect(bucket.Take(50, start.Add(time.Second))).To(BeTrue())
+	})
+})
+
+var _ = Describe("Semaphore", func() {
+	It("gives away only what is not in use", func() {
+		semaphore := limiter.NewSemaphore()
+		semaphore.Receive(limiter.Grant{Units: 3}, start)
+		Expect(semaphore.Acquire()).To(BeTrue())
+		Expect(semaphore.Give(3, start).Units).To(Equal(int64(2)))
+		Expect(semaphore.Acquire()).To(BeFalse())
+		semaphore.Release()
+		Expect(semaphore.Acquire()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Pool", func() {
+	one, two := crocushollow.Life{Instance: "one", Incarnation: 1}, crocushollow.Life{Instance: "two", Incarnation: 2}
+
+	It("moves units to where the demand is", func() {
+		pool := limiter.NewPool(limiter.Resource{Total: 10}, 0, start)
+		granted, _ := pool.Decide(one, limiter.Request{Demand: 6, Shortfall: 8}, start)
+		Expect(granted.Units).To(Equal(int64(8)))
+		granted, _ = pool.Decide(two, limiter.Request{Demand: 8, Shortfall: 8}, start)
+		Expect(granted.Units).To(Equal(int64(2)))
+		_, keep := pool.Decide(one, limiter.Request{Demand: 6}, start)
+		Expect(keep).To(BeNumerically("<", 8))
+	})
+
+	It("grants nothing before all units are accounted for", func() {
+		pool := limiter.NewRecoveringPool(limiter.Resource{Total: 10}, start)
+		pool.Register(one, 4, start)
+		granted, _ := pool.Decide(two, limiter.Request{Shortfall: 1}, start)
+		Expect(granted.Units).To(BeZero())
+		pool.Reclaim(start)
+		Expect(pool.Free()).To(Equal(int64(6)))
+	})
+
+	It("divides evenly as a baseline, whatever the demand", func() {
+		pool := limiter.NewPool(limiter.Resource{Total: 8, EvenParts: 4}, 0, start)
+		granted, keep := pool.Decide(one, limiter.Request{Demand: 8, Shortfall: 8}, start)
+		Expect(granted.Units).To(Equal(int64(2)))
+		Expect(keep).To(Equal(int64(2)))
+	})
+})
+
+// BenchmarkTake decides on one request.
+func BenchmarkTake(b *testing.B) {
+	registry := limiter.NewRegistry()
+	key := limiter.ResourceKey{Kind: limiter.TokenRate, ID: "w"}
+	huge := limiter.Rate{PerSecond: 1e12, Burst: 1e12}
+	registry.Bucket(key, huge, start).Receive(limiter.Grant{Units: limiter.BucketUnits, Level: 1e12}, start)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if !registry.Bucket(key, huge, start).Take(1, start) {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/state/placer/placer.go
+++ b/state/placer/placer.go
@@ -67,6 +67,17 @@
 	hosts []*host
 	in    Input
 	moves int
+	// holders lists the hosts that are planned to hold each set of weights.
+	holders map[weightsKey][]*host
+}
+
+// weightsKey identifies weights.
+type weightsKey struct {
+	name, version string
+}
+
+func keyOf(weights crocushollow.Weights) weightsKey {
+	return weightsKey{name: weights.Name, version: weights.Version}
 }
 
 type host struct {
@@ -98,7 +109,7 @@
 }
 
 func newPlan(in Input) *plan {
-	p := &plan{in: in}
+	p := &plan{in: in, holders: make(map[weightsKey][]*host)}
 	for _, h := range in.Hosts {
 		p.hosts = append(p.hosts, &host{Host: h, freeBytes: h.Upstream.MemoryBytes})
 	}
@@ -124,7 +135,7 @@
 			if !exists || isOld && serving[weights.Name] > 0 {
 				continue
 			}
-			h.add(weights)
+			p.add(h, weights)
 		}
 	}
 }
@@ -132,12 +143,13 @@
 // servingCopies counts the upstreams that serve the current version.
 func (p *plan) servingCopies(current map[string]crocushollow.Weights) map[string]int {
 	serving := make(map[string]int)
+	labels := make(map[string]string, len(current))
+	for name, weights := range current {
+		labels[weights.Label()] = name
+	}
 	for _, h := range p.hosts {
-		if !h.InService {
-			continue
-		}
-		for name, weights := range current {
-			if h.Resident[weights.Label()] {
+		for label, resident := range h.Resident {
+			if name, isCurrent := labels[label]; isCurrent && resident && h.InService {
 				serving[name]++
 			}
 		}
@@ -145,20 +157,28 @@
 	return serving
 }
 
-func (h *host) add(weights crocushollow.Weights) {
+func (p *plan) add(h *host, weights crocushollow.Weights) {
 	h.planned = append(h.planned, weights)
 	h.freeBytes -= weights.MemoryBytes
+	key := keyOf(weights)
+	p.holders[key] = append(p.holders[key], h)
 }
 
-func (h *host) has(weights crocushollow.Weights) bool {
-	return slices.ContainsFunc(h.planned, func(w crocushollow.Weights) bool { return w.Label() == weights.Label() })
+func (p *plan) remove(h *host, weights crocushollow.Weights) {
+	key := keyOf(weights)
+	h.planned = slices.DeleteFunc(h.planned, func(w crocushollow.Weights) bool { return keyOf(w) == key })
+	h.freeBytes += weights.MemoryBytes
+	p.holders[key] = slices.DeleteFunc(p.holders[key], func(other *host) bool { return other == h })
 }
 
-func (h *host) remove(weights crocushollow.Weights) {
-	h.planned = slices.DeleteFunc(h.planned, func(w crocushollow.Weights) bool {
-		return w.Label() == weights.Label()
-	})
-	h.freeBytes += weights.MemoryBytes
+func (h *host) has(weights crocushollow.Weights) bool {
+	key := keyOf(weights)
+	for i := range h.planned {
+		if keyOf(h.planned[i]) == key {
+			return true
+		}
+	}
+	return false
 }
 
 // cover gives every model its least number of copies, in two availability
@@ -187,15 +207,15 @@
 		if h == nil {
 			return
 		}
-		h.add(weights)
+		p.add(h, weights)
 	}
 }
 
 // copies counts the hosts in service that are planned to hold the weights.
 func (p *plan) copies(weights crocushollow.Weights) int {
 	count := 0
-	for _, h := range p.hosts {
-		if h.InService && h.has(weights) {
+	for _, h := range p.holders[keyOf(weights)] {
+		if h.InService {
 			count++
 		}
 	}
@@ -204,8 +224,8 @@
 
 func (p *plan) zonesOf(weights crocushollow.Weights) map[string]bool {
 	zones := make(map[string]bool)
-	for _, h := range p.hosts {
-		if h.InService && h.has(weights) {
+	for _, h := range p.holders[keyOf(weights)] {
+		if h.InService {
 			zones[h.Upstream.AvailabilityZone] = true
 		}
 	}
@@ -262,10 +282,8 @@
 func (p *plan) computeLoads() {
 	for _, model := range p.in.Models {
 		perCopy := p.demandPerCopy(model)
-		for _, h := range p.hosts {
-			if h.has(model.Weights()) {
-				h.load += perCopy
-			}
+		for _, h := range p.holders[keyOf(model.Weights())] {
+			h.load += perCopy
 		}
 	}
 }
@@ -276,8 +294,8 @@
 
 func (p *plan) isBusy(model crocushollow.Model) bool {
 	var limit, hosts float64
-	for _, h := range p.hosts {
-		if h.InService && h.has(model.Weights()) {
+	for _, h := range p.holders[keyOf(model.Weights())] {
+		if h.InService {
 			limit += float64(h.Upstream.MaxInFlight)
 			hosts++
 		}
@@ -294,7 +312,7 @@
 	if h == nil {
 		return false
 	}
-	h.add(weights)
+	p.add(h, weights)
 	h.load += p.demandPerCopy(model)
 	return true
 }
@@ -312,26 +330,26 @@
 		if !spare || perCopy >= lowest {
 			continue
 		}
-		for _, h := range p.hosts {
+		for _, h := range p.holders[keyOf(victim)] {
 			fits := h.freeBytes+victim.MemoryBytes >= weights.MemoryBytes
-			if h.InService && h.has(victim) && !h.has(weights) && fits {
+			if h.InService && !h.has(weights) && fits {
 				bestHost, bestVictim, lowest = h, model, perCopy
 				break
 			}
 		}
 	}
 	if bestHost != nil {
-		bestHost.evict(bestVictim)
+		p.evict(bestHost, bestVictim)
 	}
 	return bestHost
 }
 
 // evict removes a model and its adapters.
-func (h *host) evict(model crocushollow.Model) {
-	h.remove(model.Weights())
+func (p *plan) evict(h *host, model crocushollow.Model) {
+	p.remove(h, model.Weights())
 	for _, weights := range slices.Clone(h.planned) {
 		if weights.Base == model.ID {
-			h.remove(weights)
+			p.remove(h, weights)
 		}
 	}
 }
@@ -346,16 +364,16 @@
 			if h == nil {
 				break
 			}
-			h.add(weights)
+			p.add(h, weights)
 		}
 	}
 }
 
 // dropOrphans removes an adapter from hosts without its base model.
 func (p *plan) dropOrphans(weights crocushollow.Weights) {
-	for _, h := range p.hosts {
-		if h.has(weights) && !h.hasName(weights.Base) {
-			h.remove(weights)
+	for _, h := range slices.Clone(p.holders[keyOf(weights)]) {
+		if !h.hasName(weights.Base) {
+			p.remove(h, weights)
 		}
 	}
 }
--- /dev/null
+++ b/state/placer/placer_test.go
@@ -0,0 +1,171 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/standin/prover"
+	"github.com/crocushollow/crocushollow/state/placer"
+)
+
+func TestPlacer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placer")
+}
+
+func model(i int, memory int64) crocushollow.Model {
+	return crocushollow.Model{ID: fmt.Sprintf("m%d", i), Version: "1", MemoryBytes: memory, MinReplicas: 1, OutputTokens: 1}
+}
+
+func host(i int, memory int64, zones int) placer.Host {
+	return placer.Host{InService: true, Upstream: crocushollow.Upstream{
+		ID: fmt.Sprintf("u%d", i), AvailabilityZone: fmt.Sprintf("z%d", i%zones), MemoryBytes: memory, MaxInFlight: 10,
+	}}
+}
+
+// follow turns a plan into the input of the next one, as if all of it had been
+// carried out.
+func follow(in placer.Input, plan map[string][]crocushollow.Weights) placer.Input {
+	for i := range in.Hosts {
+		h := &in.Hosts[i]
+		h.Target = plan[h.Upstream.ID]
+		h.Resident = make(map[string]bool)
+		for _, weights := range h.Target {
+			h.Resident[weights.Label()] = true
+		}
+	}
+	return in
+}
+
+func copies(plan map[string][]crocushollow.Weights, name string) []string {
+	var hosts []string
+	for id, list := range plan {
+		for _, weights := range list {
+			if weights.Name == name {
+				hosts = append(hosts, id)
+			}
+		}
+	}
+	return hosts
+}
+
+var _ = Describe("Adaptive", func() {
+	It("places every model once and within memory, whatever the sizes", func() {
+		prover.Hold(GinkgoT(), func(t *rapid.T) {
+			in := placer.Input{Demand: placer.Demand{}}
+			hosts := rapid.IntRange(2, 6).Draw(t, "hosts")
+			for i := range hosts {
+				in.Hosts = append(in.Hosts, host(i, 100, 3))
+			}
+			for i := range rapid.IntRange(1, 3*hosts).Draw(t, "models") {
+				in.Models = append(in.Models, model(i, int64(rapid.IntRange(5, 30).Draw(t, "memory"))))
+			}
+			for range 3 {
+				for i := range in.Models {
+					in.Demand[in.Models[i].ID] = float64(rapid.IntRange(0, 200).Draw(t, "demand"))
+				}
+				plan := placer.Adaptive{}.Plan(in)
+				for id, list := range plan {
+					var used int64
+					for _, weights := range list {
+						used += weights.MemoryBytes
+					}
+					if used > 100 {
+						t.Fatalf("%s holds %d of 100 bytes", id, used)
+					}
+				}
+				for _, m := range in.Models {
+					if len(copies(plan, m.ID)) == 0 {
+						t.Fatalf("%s has no copy", m.ID)
+					}
+				}
+				in = follow(in, plan)
+			}
+		})
+	})
+
+	It("changes nothing while demand stays the same", func() {
+		in := placer.Input{Demand: placer.Demand{"m0": 30}}
+		for i := range 4 {
+			in.Hosts = append(in.Hosts, host(i, 100, 2))
+		}
+		for i := range 6 {
+			in.Models = append(in.Models, model(i, 20))
+		}
+		for range 5 {
+			in = follow(in, placer.Adaptive{}.Plan(in))
+		}
+		settled := placer.Adaptive{}.Plan(in)
+		Expect(placer.Adaptive{}.Plan(follow(in, settled))).To(Equal(settled))
+	})
+
+	It("gives a model whose demand moves tenfold more copies and keeps the others reachable", func() {
+		in := placer.Input{Demand: placer.Demand{"m0": 3}}
+		for i := range 6 {
+			in.Hosts = append(in.Hosts, host(i, 60, 3))
+		}
+		for i := range 9 {
+			in.Models = append(in.Models, model(i, 20))
+		}
+		in = follow(in, placer.Adaptive{}.Plan(in))
+		before := len(copies(placer.Adaptive{}.Plan(in), "m0"))
+		in.Demand["m0"] = 30
+		var plan map[string][]crocushollow.Weights
+		for range 5 {
+			plan = placer.Adaptive{}.Plan(in)
+			in = follow(in, plan)
+		}
+		Expect(len(copies(plan, "m0"))).To(BeNumerically(">", before))
+		for _, m := range in.Models {
+			Expect(copies(plan, m.ID)).NotTo(BeEmpty())
+		}
+	})
+
+	It("keeps the old version until the new one serves", func() {
+		in := placer.Input{Demand: placer.Demand{}, Models: []crocushollow.Model{model(0, 20)}}
+		in.Hosts = []placer.Host{host(0, 100, 2), host(1, 100, 2)}
+		in = follow(in, placer.Adaptive{}.Plan(in))
+		in.Models[0].Version = "2"
+		plan := placer.Adaptive{}.Plan(in)
+		Expect(copies(plan, "m0")).To(HaveLen(4), "both versions on both hosts")
+		Expect(copies(placer.Adaptive{}.Plan(follow(in, plan)), "m0")).To(HaveLen(2))
+	})
+
+	It("covers the models of a zone taken out elsewhere", func() {
+		in := placer.Input{Demand: placer.Demand{}}
+		for i := range 4 {
+			in.Hosts = append(in.Hosts, host(i, 100, 2))
+		}
+		in.Models = []crocushollow.Model{model(0, 60), model(1, 60)}
+		in = follow(in, placer.Adaptive{}.Plan(in))
+		for i := range in.Hosts {
+			in.Hosts[i].InService = in.Hosts[i].Upstream.AvailabilityZone != "z0"
+		}
+		plan := placer.Adaptive{}.Plan(in)
+		for _, m := range in.Models {
+			Expect(copies(plan, m.ID)).To(ContainElement(BeElementOf("u1", "u3")))
+		}
+	})
+})
+
+// BenchmarkPlan plans 300 models on 500 upstreams.
+func BenchmarkPlan(b *testing.B) {
+	in := placer.Input{Demand: placer.Demand{}}
+	for i := range 500 {
+		in.Hosts = append(in.Hosts, host(i, 80, 15))
+	}
+	for i := range 300 {
+		in.Models = append(in.Models, model(i, 20))
+		in.Demand[fmt.Sprintf("m%d", i)] = float64(i % 40)
+	}
+	in = follow(in, placer.Adaptive{}.Plan(in))
+	b.ResetTimer()
+	for range b.N {
+		placer.Adaptive{}.Plan(in)
+	}
+}
