Measure a model's speed only while requests wait

The meter divided the tokens served by the whole time, idle time included, so that the first queue after a quiet minute seemed hours long. Ruled out: the stop itself; the refusals came before it began. Change: the meter runs only while requests wait. Conclusion: an early refusal needs a speed measured under load.

--- a/cmd/crocushollow/check.go
+++ b/cmd/crocushollow/check.go
@@ -1,131 +1,21 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/crocushollow/crocushollow"
-	"github.com/crocushollow/crocushollow/standin/engineserver"
+	"github.com/crocushollow/crocushollow/standin/caller"
+	"github.com/crocushollow/crocushollow/standin/stager"
 	"github.com/crocushollow/crocushollow/transport/console"
 )
 
-// reply is what a caller got.
-type reply struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// outcome returns the outcome that an error answer carries.
-func (r reply) outcome() string {
-	var failure struct {
-		Error struct {
-			Outcome string `json:"outcome"`
-		} `json:"error"`
-	}
-	_ = json.Unmarshal(r.body, &failure)
-	return failure.Error.Outcome
-}
-
-func send(ctx context.Context, method, target, key string, header http.Header, body string) (reply, error) {
-	request, err := http.NewRequestWithContext(ctx, method, target, strings.NewReader(body))
-	if err != nil {
-		return reply{}, err
-	}
-	if header != nil {
-		request.Header = header
-	}
-	if key != "" {
-		request.Header.Set("Authorization", "Bearer "+key)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return reply{}, err
-	}
-	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: read}, err
-}
-
-func chatBody(model, content string, tokens int, stream bool) string {
-	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`,
-		model, stream, tokens, content)
-}
-
-// complete asks a model for a whole answer to a short message.
-func complete(ctx context.Context, address, key, model string, tokens int) (reply, error) {
-	return send(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", key, nil, chatBody(model, "hello", tokens, false))
-}
-
-// streamed is what a caller got of a stream.
-type streamed struct {
-	status int
-	text   string
-	whole  bool
-}
-
-// stream asks a model for a streamed answer and reads it to its end.
-func stream(ctx context.Context, address, key, model, content string, tokens int) (streamed, error) {
-	body := chatBody(model, content, tokens, true)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		return streamed{}, err
-	}
-	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return streamed{}, err
-	}
-	defer response.Body.Close()
-	result := streamed{status: response.StatusCode}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
-		switch {
-		case !isData:
-		case string(data) == "[DONE]":
-			result.whole = true
-		default:
-			result.text += contentOf(data)
-		}
-	}
-	return result, lines.Err()
-}
-
-func contentOf(event []byte) string {
-	var chunk struct {
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-		} `json:"choices"`
-	}
-	if json.Unmarshal(event, &chunk) != nil || len(chunk.Choices) == 0 {
-		return ""
-	}
-	return chunk.Choices[0].Delta.Content
-}
-
-// expectedText returns what an engine generates for a message.
-func expectedText(content string, tokens int) string {
-	prompt := []byte(fmt.Sprintf(`[{"role":"user","content":%q}]`, content))
-	var text strings.Builder
-	for i := range tokens {
-		text.WriteString(engineserver.Token(prompt, i))
-	}
-	return text.String()
-}
-
 // check drives the site through real clients.
 func (s *demoSite) check(ctx context.Context) error {
 	checks := []struct {
@@ -154,26 +44,29 @@
 	return nil
 }
 
+// first returns the caller address of the first instance.
+func (s *demoSite) first() string { return s.sorted()[0].Callers }
+
 func (s *demoSite) checkStream(ctx context.Context) error {
-	const tokens = 40
-	got, err := stream(ctx, s.Instances()[0].Callers, s.keys["hives"], "letters-breton", "wax foundation", tokens)
+	prompt := caller.Prompt{Model: "letters-breton", Content: "wax foundation", Tokens: 40}
+	got, err := caller.New(s.secrets["hives"]).Stream(ctx, s.first(), prompt)
 	if err != nil {
 		return err
 	}
-	if !got.whole || got.text != expectedText("wax foundation", tokens) {
-		return fmt.Errorf("status %d, whole %t, text %q", got.status, got.whole, got.text)
+	if !got.IsWhole(prompt) {
+		return fmt.Errorf("status %d, done %t, text %q", got.Status, got.Done, got.Text)
 	}
 	return nil
 }
 
 func (s *demoSite) checkEmbedding(ctx context.Context) error {
-	got, err := send(ctx, http.MethodPost, "http://"+s.Instances()[0].Callers+"/v1/embeddings", s.keys["shoes"], nil,
+	got, err := caller.New(s.secrets["shoes"]).Send(ctx, http.MethodPost, s.first(), "/v1/embeddings", nil,
 		`{"model":"stock-notes","input":"twelve frames"}`)
 	if err != nil {
 		return err
 	}
-	if got.status != http.StatusOK || !bytes.Contains(got.body, []byte(`"embedding":[`)) {
-		return fmt.Errorf("status %d: %s", got.status, got.body)
+	if got.Status != http.StatusOK || !bytes.Contains(got.Body, []byte(`"embedding":[`)) {
+		return fmt.Errorf("status %d: %s", got.Status, got.Body)
 	}
 	return nil
 }
@@ -192,18 +85,19 @@
 
 // checkOrder sends the same order to every instance.
 func (s *demoSite) checkOrder(ctx context.Context) error {
+	hives := caller.New(s.secrets["hives"])
+	header := http.Header{"Idempotency-Key": {"order-1"}}
 	var first []byte
 	for _, instance := range s.Instances() {
-		header := http.Header{"Idempotency-Key": {"order-1"}}
-		got, err := send(ctx, http.MethodPost, "http://"+instance.Callers+"/orders", s.keys["hives"], header, `{"pallets":1}`)
+		got, err := hives.Send(ctx, http.MethodPost, instance.Callers, "/orders", header, `{"pallets":1}`)
 		if err != nil {
 			return err
 		}
 		if first == nil {
-			first = got.body
+			first = got.Body
 		}
-		if got.status != http.StatusOK || !bytes.Equal(got.body, first) {
-			return fmt.Errorf("status %d: %s", got.status, got.body)
+		if got.Status != http.StatusOK || !bytes.Equal(got.Body, first) {
+			return fmt.Errorf("status %d: %s", got.Status, got.Body)
 		}
 	}
 	if runs := s.executions("order-1"); runs != 1 {
@@ -213,50 +107,51 @@
 }
 
 func (s *demoSite) checkOpenRoute(ctx context.Context) error {
-	got, err := send(ctx, http.MethodGet, "http://"+s.Instances()[0].Callers+"/stock", "", nil, "")
+	got, err := caller.New("").Send(ctx, http.MethodGet, s.first(), "/stock", nil, "")
 	if err != nil {
 		return err
 	}
-	if got.status != http.StatusOK {
-		return fmt.Errorf("status %d: %s", got.status, got.body)
+	if got.Status != http.StatusOK {
+		return fmt.Errorf("status %d: %s", got.Status, got.Body)
 	}
 	return nil
 }
 
 func (s *demoSite) checkUnknownKey(ctx context.Context) error {
-	got, err := complete(ctx, s.Instances()[0].Callers, "ch-unknown", "letters", 1)
+	got, err := caller.New("ch-unknown").Complete(ctx, s.first(), caller.Prompt{Model: "letters", Content: "hello", Tokens: 1})
 	if err != nil {
 		return err
 	}
-	if got.status != http.StatusUnauthorized || got.outcome() != string(crocushollow.NotRun) {
-		return fmt.Errorf("status %d: %s", got.status, got.body)
+	if got.Status != http.StatusUnauthorized || got.Outcome() != string(crocushollow.NotRun) {
+		return fmt.Errorf("status %d: %s", got.Status, got.Body)
 	}
 	return nil
 }
 
 // checkRate uses up the burst of a workspace, and comes back when told to.
 func (s *demoSite) checkRate(ctx context.Context) error {
-	const attempts, tokens = 20, 60
-	address := s.Instances()[0].Callers
+	const attempts = 20
+	trial := caller.New(s.secrets["trial"])
+	prompt := caller.Prompt{Model: "letters", Content: "hello", Tokens: 60}
 	for range attempts {
-		got, err := complete(ctx, address, s.keys["trial"], "letters", tokens)
+		got, err := trial.Complete(ctx, s.first(), prompt)
 		if err != nil {
 			return err
 		}
-		if got.status == http.StatusOK {
+		if got.Status == http.StatusOK {
 			continue
 		}
-		after, err := strconv.Atoi(got.header.Get("Retry-After"))
-		if got.status != http.StatusTooManyRequests || got.outcome() != string(crocushollow.NotRun) || err != nil {
-			return fmt.Errorf("status %d, Retry-After %q: %s", got.status, got.header.Get("Retry-After"), got.body)
+		after, err := strconv.Atoi(got.Header.Get("Retry-After"))
+		if got.Status != http.StatusTooManyRequests || got.Outcome() != string(crocushollow.NotRun) || err != nil {
+			return fmt.Errorf("status %d, Retry-After %q: %s", got.Status, got.Header.Get("Retry-After"), got.Body)
 		}
 		time.Sleep(time.Duration(after) * time.Second)
-		got, err = complete(ctx, address, s.keys["trial"], "letters", tokens)
+		got, err = trial.Complete(ctx, s.first(), prompt)
 		if err != nil {
 			return err
 		}
-		if got.status != http.StatusOK {
-			return fmt.Errorf("status %d after waiting %d s: %s", got.status, after, got.body)
+		if got.Status != http.StatusOK {
+			return fmt.Errorf("status %d after waiting %d s: %s", got.Status, after, got.Body)
 		}
 		return nil
 	}
@@ -282,40 +177,31 @@
 func (s *demoSite) checkAddedModel(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	added := change(crocushollow.ModelTable, "assembly-guides", "memory_bytes", gibibytes(10))
-	if err := s.edit(ctx, []console.Change{added}); err != nil {
+	added := stager.NewModel("assembly-guides", 10)
+	if err := stager.Edit(ctx, s.client, console.ChangeOf(added)); err != nil {
 		return err
 	}
-	return s.awaitModel(ctx, "assembly-guides")
+	return s.awaitModel(ctx, added.ID)
 }
 
 // withdrawalLimit bounds how long a withdrawn key may still work.
 const withdrawalLimit = 4 * time.Second
 
 func (s *demoSite) checkWithdrawal(ctx context.Context) error {
-	secret := newSecret()
-	if err := s.edit(ctx, []console.Change{keyChange("short-lived", "shoes", secret)}); err != nil {
+	secret := crocushollow.NewSecret()
+	key := crocushollow.Key{ID: "short-lived", Workspace: "shoes", Digest: crocushollow.DigestKey(secret)}
+	if err := stager.Edit(ctx, s.client, console.ChangeOf(key)); err != nil {
 		return err
 	}
-	type ended struct {
-		got streamed
-		err error
-	}
-	running := make(chan ended, 1)
+	running := make(chan caller.Streamed, 1)
 	go func() {
-		got, err := stream(ctx, s.Instances()[0].Callers, secret, "letters", "a very long letter", 4000)
-		running <- ended{got, err}
+		prompt := caller.Prompt{Model: "letters", Content: "a very long letter", Tokens: 4000}
+		got, _ := caller.New(secret).Stream(ctx, s.first(), prompt)
+		running <- got
 	}()
 	time.Sleep(time.Second)
-	table, err := s.client.Table(ctx, crocushollow.KeyTable)
-	if err != nil {
-		return err
-	}
-	row, _ := findRow(table, "short-lived")
 	withdrawn := time.Now()
-	withdrawal := change(crocushollow.KeyTable, "short-lived", "withdrawn", "true")
-	withdrawal.Base = row.Revision
-	if _, err := s.client.Edit(ctx, []console.Change{withdrawal}); err != nil {
+	if err := stager.SetCells(ctx, s.client, key.Ref(), crocushollow.Cell{Column: "withdrawn", Text: "true"}); err != nil {
 		return err
 	}
 	for _, instance := range s.Instances() {
@@ -324,9 +210,9 @@
 		}
 	}
 	select {
-	case end := <-running:
-		if end.got.status != http.StatusOK || end.got.whole {
-			return fmt.Errorf("stream: status %d, whole %t", end.got.status, end.got.whole)
+	case got := <-running:
+		if got.Status != http.StatusOK || got.Done || !got.Failed {
+			return fmt.Errorf("stream: status %d, done %t, failed %t", got.Status, got.Done, got.Failed)
 		}
 		return nil
 	case <-time.After(withdrawalLimit - time.Since(withdrawn)):
@@ -334,36 +220,37 @@
 	}
 }
 
-func awaitRefusal(ctx context.Context, address, key string, since time.Time) error {
+// refusalPoll is the time between two tries of a withdrawn key.
+const refusalPoll = 20 * time.Millisecond
+
+func awaitRefusal(ctx context.Context, address, secret string, since time.Time) error {
+	c := caller.New(secret)
 	for time.Since(since) < withdrawalLimit {
-		got, err := complete(ctx, address, key, "letters", 1)
+		got, err := c.Complete(ctx, address, caller.Prompt{Model: "letters", Content: "hello", Tokens: 1})
 		if err != nil {
 			return err
 		}
-		if got.status == http.StatusUnauthorized {
+		if got.Status == http.StatusUnauthorized {
 			return nil
 		}
-		time.Sleep(readPause)
+		time.Sleep(refusalPoll)
 	}
 	return errors.New("the key still works")
 }
 
-const readPause = 20 * time.Millisecond
-
 // checkPlannedStop keeps callers busy while one instance stops. The callers
 // follow discovery, as real ones do.
 func (s *demoSite) checkPlannedStop(ctx context.Context) error {
 	const callers = 12
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stopped := s.Instances()[0]
-	entry := s.Instances()[1].Callers
+	stopped, entry := s.sorted()[0], s.sorted()[1].Callers
 	failures := make(chan error, callers)
 	finish := make(chan struct{})
 	var group sync.WaitGroup
 	for i := range callers {
 		group.Go(func() {
-			if err := s.callUntil(ctx, entry, fmt.Sprintf("caller %d", i), finish); err != nil {
+			if err := s.callUntil(ctx, entry, i, finish); err != nil {
 				failures <- err
 			}
 		})
@@ -380,33 +267,29 @@
 
 // callUntil sends streams one after the other to the addresses that discovery
 // answers.
-func (s *demoSite) callUntil(ctx context.Context, entry, content string, finish chan struct{}) error {
-	const tokens = 30
-	var known struct {
-		Addresses []string `json:"addresses"`
-		TTLMS     int64    `json:"ttl_ms"`
-	}
-	var askedAt time.Time
-	for n := 0; ; n++ {
-		select {
-		case <-finish:
-			return nil
-		default:
+func (s *demoSite) callUntil(ctx context.Context, entry string, number int, finish chan struct{}) error {
+	c := caller.New(s.secrets["hives"])
+	prompt := caller.Prompt{Model: "letters", Content: fmt.Sprintf("caller %d", number), Tokens: 30}
+	for {
+		known, err := c.Discover(ctx, entry, "hives", prompt.Model, "")
+		if err != nil {
+			return err
 		}
-		if time.Since(askedAt) >= time.Duration(known.TTLMS)*time.Millisecond {
-			askedAt = time.Now()
-			got, err := send(ctx, http.MethodGet, "http://"+entry+"/discovery?workspace=hives&model="+content[len(content)-1:], "", nil, "")
-			if err != nil {
-				return err
+		if len(known.Addresses) == 0 {
+			return errors.New("discovery answers no address")
+		}
+		until := time.Now().Add(time.Duration(known.TTLMS) * time.Millisecond)
+		for time.Now().Before(until) {
+			select {
+			case <-finish:
+				return nil
+			default:
 			}
-			if err := json.Unmarshal(got.body, &known); err != nil || len(known.Addresses) == 0 {
-				return fmt.Errorf("discovery answered %s", got.body)
+			address := known.Addresses[number%len(known.Addresses)]
+			got, err := c.Stream(ctx, address, prompt)
+			if err != nil || !got.IsWhole(prompt) {
+				return fmt.Errorf("call to %s: status %d, done %t, error %w: %s", address, got.Status, got.Done, err, got.Refusal.Body)
 			}
 		}
-		address := known.Addresses[n%len(known.Addresses)]
-		got, err := stream(ctx, address, s.keys["hives"], "letters", content, tokens)
-		if err != nil || !got.whole || got.text != expectedText(content, tokens) {
-			return fmt.Errorf("call to %s: status %d, whole %t: %w", address, got.status, got.whole, err)
-		}
 	}
 }
--- a/cmd/crocushollow/demo.go
+++ b/cmd/crocushollow/demo.go
@@ -1,15 +1,15 @@
 package main
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/standin/stager"
 	"github.com/crocushollow/crocushollow/transport/console"
 )
@@ -29,8 +29,8 @@
 type demoSite struct {
 	*stager.Site
 	client console.Client
-	// keys holds each workspace's secret.
-	keys map[string]string
+	// secrets holds each workspace's key.
+	secrets map[string]string
 }
 
 // Run starts the site, and checks it or stays up until interrupted.
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site := &demoSite{Site: staged, keys: make(map[string]string)}
+	site := &demoSite{Site: staged}
 	if err := site.prepare(ctx); err != nil {
 		site.Close()
 		return nil, err
@@ -74,103 +74,37 @@
 	if err := s.AwaitReady(ctx); err != nil {
 		return err
 	}
-	s.client = console.Client{Address: s.Instances()[0].Console, Operator: "demo"}
-	if err := s.edit(ctx, s.sampleRows()); err != nil {
-		return err
-	}
-	for _, model := range []string{"stock-notes", "letters", "letters-breton"} {
-		if err := s.awaitModel(ctx, model); err != nil {
-			return err
-		}
+	workload := stager.SampleWorkload()
+	rows, secrets := s.Rows(workload, stager.Direct)
+	s.secrets = secrets
+	s.client = console.Client{Address: s.sorted()[0].Console, Operator: "demo"}
+	var changes []console.Change
+	for _, row := range rows {
+		changes = append(changes, console.ChangeOf(row))
 	}
-	return nil
-}
-
-// edit publishes changes, all of which must be accepted, and waits until they
-// are in force.
-func (s *demoSite) edit(ctx context.Context, changes []console.Change) error {
-	results, err := s.client.Edit(ctx, changes)
-	if err != nil {
+	if err := stager.Edit(ctx, s.client, changes...); err != nil {
 		return err
 	}
-	var last uint64
-	for _, result := range results {
-		if result.Error != "" {
-			return errors.New(result.Error)
+	for _, model := range workload.Models {
+		if err := s.awaitModel(ctx, model.ID); err != nil {
+			return err
 		}
-		last = max(last, result.Offset)
 	}
-	_, err = s.client.Wait(ctx, last)
-	return err
+	return s.awaitModel(ctx, workload.Adapters[0].ID)
 }
 
-// change returns a change of a row with cells given as column, text pairs.
-func change(table crocushollow.TableName, id string, pairs ...string) console.Change {
-	c := console.Change{Table: table, ID: id}
-	for i := 0; i+1 < len(pairs); i += 2 {
-		c.Cells = append(c.Cells, crocushollow.Cell{Column: pairs[i], Text: pairs[i+1]})
-	}
-	return c
+// sorted returns the instances by name.
+func (s *demoSite) sorted() []*stager.Instance {
+	instances := s.Instances()
+	slices.SortFunc(instances, func(a, b *stager.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return instances
 }
 
-// sampleRows returns the rows of the demo site.
-func (s *demoSite) sampleRows() []console.Change {
-	rows := []console.Change{
-		change(crocushollow.LimitTable, crocushollow.WeightStoreLimitID, "rate", "8", "burst", "16", "max_in_flight", "70"),
-		change(crocushollow.WorkspaceTable, "hives", "token_rate", "20000", "token_burst", "40000", "weight", "2"),
-		change(crocushollow.WorkspaceTable, "shoes", "token_rate", "20000", "token_burst", "40000"),
-		change(crocushollow.WorkspaceTable, "trial", "token_rate", "50", "token_burst", "300"),
-		change(crocushollow.ModelTable, "stock-notes", "memory_bytes", gibibytes(20), "min_replicas", "2"),
-		change(crocushollow.ModelTable, "letters", "memory_bytes", gibibytes(30), "min_replicas", "2"),
-		change(crocushollow.AdapterTable, "letters-breton", "model", "letters", "memory_bytes", gibibytes(1)),
-	}
-	for _, workspace := range []string{"hives", "shoes", "trial"} {
-		s.keys[workspace] = newSecret()
-		rows = append(rows, keyChange(workspace+"-key", workspace, s.keys[workspace]))
-	}
-	for _, zone := range s.Config.AvailabilityZones {
-		rows = append(rows, change(crocushollow.AvailabilityZoneTable, zone))
-	}
-	return append(rows, s.upstreamRows()...)
-}
-
-func gibibytes(count int64) string { return fmt.Sprint(count << 30) }
-
-func (s *demoSite) upstreamRows() []console.Change {
-	var rows []console.Change
-	for _, engine := range s.Engines {
-		rows = append(rows, change(crocushollow.UpstreamTable, engine.ID,
-			"address", engine.Address, "availability_zone", engine.Zone,
-			"memory_bytes", fmt.Sprint(s.Config.Engine.MemoryBytes),
-			"max_in_flight", fmt.Sprint(s.Config.Engine.Slots), "checks_fencing", fmt.Sprint(engine.Checks)))
-	}
-	services := ""
-	for _, service := range s.Services {
-		rows = append(rows, change(crocushollow.UpstreamTable, service.ID, "kind", "service",
-			"address", service.Address, "availability_zone", service.Zone))
-		services += service.ID + " "
-	}
-	return append(rows,
-		change(crocushollow.RouteTable, "orders", "path_prefix", "/orders", "upstreams", services, "timeout", "10s"),
-		change(crocushollow.RouteTable, "stock", "path_prefix", "/stock", "upstreams", services, "open", "true", "repeatable", "true"))
-}
-
-// modelPoll is the time between two tries to reach a model.
-const modelPoll = 100 * time.Millisecond
-
 // awaitModel waits until a model answers at every instance.
 func (s *demoSite) awaitModel(ctx context.Context, model string) error {
 	for _, instance := range s.Instances() {
-		for {
-			answer, err := complete(ctx, instance.Callers, s.keys["hives"], model, 1)
-			if err == nil && answer.status == 200 {
-				break
-			}
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("model %s does not answer: %w", model, errors.Join(err, ctx.Err()))
-			case <-time.After(modelPoll):
-			}
+		if err := stager.AwaitModel(ctx, instance.Callers, s.secrets["hives"], model); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -178,11 +112,11 @@
 
 func (s *demoSite) printUse() {
 	fmt.Println("Instances:")
-	for _, instance := range s.Instances() {
+	for _, instance := range s.sorted() {
 		fmt.Printf("  %-6s callers http://%s  operators %s\n", instance.ID, instance.Callers, instance.Console)
 	}
-	callers, operators := s.Instances()[0].Callers, s.Instances()[0].Console
-	key := s.keys["hives"]
+	callers, operators := s.sorted()[0].Callers, s.sorted()[0].Console
+	key := s.secrets["hives"]
 	fmt.Printf(`
 Keys:
   hives %s
@@ -200,5 +134,5 @@
   go run ./cmd/crocushollow --address %s table set workspaces trial token_rate=500 --wait
 
 Interrupt to stop.
-`, key, s.keys["shoes"], s.keys["trial"], callers, key, callers, key, callers, key, callers, callers, operators, operators, operators)
+`, key, s.secrets["shoes"], s.secrets["trial"], callers, key, callers, key, callers, key, callers, callers, operators, operators, operators)
 }
--- a/cmd/crocushollow/operate.go
+++ b/cmd/crocushollow/operate.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"fmt"
 	"os"
 	"strings"
@@ -24,38 +22,19 @@
 	Workspace string `arg:"" help:"Workspace that the key belongs to."`
 }
 
-// secretBytes is the length of the random part of a key.
-const secretBytes = 24
-
-// newSecret returns a new key for a caller.
-func newSecret() string {
-	secret := make([]byte, secretBytes)
-	// Read of crypto/rand never returns an error.
-	_, _ = rand.Read(secret)
-	return "ch-" + hex.EncodeToString(secret)
-}
-
 // Run adds a key and prints the secret, which is stored nowhere.
 func (c keyAdd) Run(g globals) error {
 	ctx, cancel := g.context()
 	defer cancel()
-	secret := newSecret()
-	err := c.publish(ctx, g.client(), []console.Change{keyChange(c.ID, c.Workspace, secret)})
+	secret := crocushollow.NewSecret()
+	key := crocushollow.Key{ID: c.ID, Workspace: c.Workspace, Digest: crocushollow.DigestKey(secret)}
+	err := c.publish(ctx, g.client(), []console.Change{console.ChangeOf(key)})
 	if err == nil {
 		fmt.Println(secret)
 	}
 	return err
 }
 
-// keyChange adds the digest of a secret as a key.
-func keyChange(id, workspace, secret string) console.Change {
-	digest, _ := crocushollow.DigestKey(secret).MarshalText()
-	return console.Change{Table: crocushollow.KeyTable, ID: id, Cells: []crocushollow.Cell{
-		{Column: "workspace", Text: workspace},
-		{Column: "digest", Text: string(digest)},
-	}}
-}
-
 type keyWithdraw struct {
 	waitFlag
 	baseFlag
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -68,7 +69,7 @@
 		historian: historian.New(),
 		recorder:  recorder.New(),
 		sessions:  authenticator.NewSessions(),
-		peers:     messenger.NewClient(),
+		peers:     messenger.NewClient(settings.localAddr()),
 	}
 	d.assembleControl()
 	d.assembleTraffic()
@@ -88,7 +89,7 @@
 
 func (d *Daemon) assembleControl() {
 	s := d.settings
-	log := connector.NewLog(s.Platform.Log)
+	log := connector.NewLog(s.Platform.Log, s.localAddr())
 	appender := &relayAppender{log: log, peers: d.peers}
 	d.publisher = publisher.New(publisher.Config{
 		Appender:      appender,
@@ -100,16 +101,16 @@
 	d.controller = controller.New(controller.Config{
 		Member: crocushollow.Member{
 			ID:               s.Instance.ID,
-			CallerAddress:    s.Listen.Callers,
-			PeerAddress:      s.Listen.Peers,
+			CallerAddress:    cmp.Or(s.Advertise.Callers, s.Listen.Callers),
+			PeerAddress:      cmp.Or(s.Advertise.Peers, s.Listen.Peers),
 			AvailabilityZone: s.Instance.AvailabilityZone,
 		},
 		Timing:     s.timing(),
 		Log:        log,
 		Publisher:  d.publisher,
 		Peers:      d.peers,
-		Engines:    connector.NewEngines(),
-		Lister:     connector.NewInstances(s.Platform.Instances),
+		Engines:    connector.NewEngines(s.localAddr()),
+		Lister:     connector.NewInstances(s.Platform.Instances, s.localAddr()),
 		Detector:   d.detector,
 		Parts:      d.parts,
 		Planner:    s.planner(),
@@ -127,6 +128,7 @@
 func (d *Daemon) assembleTraffic() {
 	s := d.settings
 	d.sender = forwarder.New(forwarder.Config{
+		LocalAddr:          s.localAddr(),
 		DialTimeout:        300 * time.Millisecond,
 		ChunkTimeout:       time.Duration(s.Calls.ChunkTimeout),
 		MaxIdlePerUpstream: 64,
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/crocushollow/crocushollow/coordination/controller"
@@ -11,6 +13,16 @@
 	"github.com/crocushollow/crocushollow/transport/console"
 )
 
+// localAddr returns the address that connections to others come from, so that
+// they are told apart on a host with several addresses.
+func (s Settings) localAddr() net.Addr {
+	address, err := netip.ParseAddrPort(s.Listen.Peers)
+	if err != nil || address.Addr().IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0))
+}
+
 func (s Settings) timing() controller.Timing {
 	timing := controller.DefaultTiming()
 	timing.Lease = time.Duration(s.Timing.Lease)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -36,6 +36,7 @@
 type Settings struct {
 	Instance  InstanceSettings  `toml:"instance"`
 	Listen    ListenSettings    `toml:"listen"`
+	Advertise AdvertiseSettings `toml:"advertise"`
 	Platform  PlatformSettings  `toml:"platform"`
 	Policy    PolicySettings    `toml:"policy"`
 	Discovery DiscoverySettings `toml:"discovery"`
@@ -61,6 +62,13 @@
 	Operators string `toml:"operators"`
 }
 
+// AdvertiseSettings holds the addresses that others connect to where they
+// differ from those to listen on.
+type AdvertiseSettings struct {
+	Callers string `toml:"callers"`
+	Peers   string `toml:"peers"`
+}
+
 // PlatformSettings holds the addresses of the platform's services.
 type PlatformSettings struct {
 	Log       string `toml:"log"`
@@ -271,6 +279,8 @@
 		isAddress("listen.callers", s.Listen.Callers),
 		isAddress("listen.peers", s.Listen.Peers),
 		isAddress("listen.operators", s.Listen.Operators),
+		isAddressIfSet("advertise.callers", s.Advertise.Callers),
+		isAddressIfSet("advertise.peers", s.Advertise.Peers),
 		isAddress("platform.log", s.Platform.Log),
 		isAddress("platform.instances", s.Platform.Instances),
 		isOneOf("policy.limits", s.Policy.Limits, "escrow", "static"),
@@ -295,7 +305,7 @@
 		isPositive("calls.max_attempts", int64(s.Calls.MaxAttempts)),
 		isPositive("shutdown.grace", int64(s.Shutdown.Grace)),
 		s.checkLogging(),
-		s.checkTracing(),
+		isAddressIfSet("tracing.otlp", s.Tracing.OTLP),
 		s.checkOperators(),
 	}
 	for _, bad := range checks {
@@ -313,13 +323,6 @@
 	return nil
 }
 
-func (s Settings) checkTracing() *SettingsError {
-	if s.Tracing.OTLP == "" {
-		return nil
-	}
-	return isAddress("tracing.otlp", s.Tracing.OTLP)
-}
-
 func (s Settings) checkOperators() *SettingsError {
 	for _, operator := range s.Operators {
 		if operator.Name == "" {
@@ -352,6 +355,13 @@
 	return nil
 }
 
+func isAddressIfSet(field, value string) *SettingsError {
+	if value == "" {
+		return nil
+	}
+	return isAddress(field, value)
+}
+
 func isPositive(field string, value int64) *SettingsError {
 	if value <= 0 {
 		return &SettingsError{Field: field, Reason: "must be greater than 0"}
--- a/key.go
+++ b/key.go
@@ -1,6 +1,7 @@
 package crocushollow
 
 import (
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -15,6 +16,17 @@
 	return sha256.Sum256([]byte(key))
 }
 
+// secretBytes is the length of the random part of a key.
+const secretBytes = 24
+
+// NewSecret returns a new key for a caller.
+func NewSecret() string {
+	secret := make([]byte, secretBytes)
+	// Read of crypto/rand never returns an error.
+	_, _ = rand.Read(secret)
+	return "ch-" + hex.EncodeToString(secret)
+}
+
 // MarshalText implements encoding.TextMarshaler with hexadecimal digits.
 func (d KeyDigest) MarshalText() ([]byte, error) {
 	return []byte(hex.EncodeToString(d[:])), nil
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -189,6 +189,10 @@
 			return true
 		})
 	}
+	if l.queue.Len() == 0 {
+		l.served.stop()
+		return
+	}
 	if borrow {
 		l.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
 			d.borrow(l, &t.request, now)
@@ -251,6 +255,7 @@
 		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
 			"the model's queue is full").WithRetryAfter(max(l.expectedWait(now), time.Second))
 	}
+	l.served.start(now)
 	d.borrow(l, &request, now)
 	return ticket, nil, nil
 }
--- /dev/null
+++ b/standin/stager/rows.go
@@ -0,0 +1,160 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/standin/caller"
+	"github.com/crocushollow/crocushollow/transport/console"
+)
+
+// Workload is what a site serves.
+type Workload struct {
+	Workspaces []crocushollow.Workspace
+	Models     []crocushollow.Model
+	Adapters   []crocushollow.Adapter
+}
+
+// gibibyte is a unit of memory in bytes.
+const gibibyte = 1 << 30
+
+// SampleWorkload returns the workload of a small site.
+func SampleWorkload() Workload {
+	return Workload{
+		Workspaces: []crocushollow.Workspace{
+			{ID: "hives", TokenRate: 20_000, TokenBurst: 40_000, Weight: 2},
+			{ID: "shoes", TokenRate: 20_000, TokenBurst: 40_000, Weight: 1},
+			{ID: "trial", TokenRate: 50, TokenBurst: 300, Weight: 1},
+		},
+		Models: []crocushollow.Model{
+			NewModel("stock-notes", 20),
+			NewModel("letters", 30),
+		},
+		Adapters: []crocushollow.Adapter{
+			{ID: "letters-breton", Model: "letters", Version: "1", MemoryBytes: gibibyte},
+		},
+	}
+}
+
+// NewModel returns a model of a size in gibibytes.
+func NewModel(id string, gibibytes int64) crocushollow.Model {
+	return crocushollow.Model{
+		ID: id, Version: "1", MemoryBytes: gibibytes * gibibyte, MinReplicas: 2, OutputTokens: 256,
+	}
+}
+
+// KeyOf returns the row of a workspace's key.
+func KeyOf(workspace, secret string) crocushollow.Key {
+	return crocushollow.Key{ID: workspace + "-key", Workspace: workspace, Digest: crocushollow.DigestKey(secret)}
+}
+
+// Rows returns the rows of the site and a new secret for each workspace. An
+// upstream's row holds the address that via returns for it.
+func (s *Site) Rows(workload Workload, via func(id, address string) string) ([]crocushollow.Row, map[string]string) {
+	rows := []crocushollow.Row{crocushollow.Limit{
+		ID: crocushollow.WeightStoreLimitID, Rate: s.Config.Store.Rate,
+		Burst: int64(s.Config.Store.Burst), MaxInFlight: int64(s.Config.Store.MaxInFlight),
+	}}
+	secrets := make(map[string]string)
+	for _, workspace := range workload.Workspaces {
+		secrets[workspace.ID] = crocushollow.NewSecret()
+		rows = append(rows, workspace, KeyOf(workspace.ID, secrets[workspace.ID]))
+	}
+	for _, model := range workload.Models {
+		rows = append(rows, model)
+	}
+	for _, adapter := range workload.Adapters {
+		rows = append(rows, adapter)
+	}
+	for _, zone := range s.Config.AvailabilityZones {
+		rows = append(rows, crocushollow.AvailabilityZone{ID: zone, InService: true})
+	}
+	return append(rows, s.upstreamRows(via)...), secrets
+}
+
+func (s *Site) upstreamRows(via func(id, address string) string) []crocushollow.Row {
+	var rows []crocushollow.Row
+	for _, engine := range s.Engines {
+		rows = append(rows, crocushollow.Upstream{
+			ID: engine.ID, Kind: crocushollow.EngineUpstream, Address: via(engine.ID, engine.Address),
+			AvailabilityZone: engine.Zone, MemoryBytes: s.Config.Engine.MemoryBytes,
+			MaxInFlight: int64(s.Config.Engine.Slots), ColdMaxInFlight: int64(s.Config.Engine.ColdLimit),
+			ChecksFencing: engine.Checks,
+		})
+	}
+	var services []string
+	for _, service := range s.Services {
+		services = append(services, service.ID)
+		rows = append(rows, crocushollow.Upstream{
+			ID: service.ID, Kind: crocushollow.ServiceUpstream, Address: via(service.ID, service.Address),
+			AvailabilityZone: service.Zone, MaxInFlight: 64, ColdMaxInFlight: 8,
+		})
+	}
+	if len(services) == 0 {
+		return rows
+	}
+	return append(rows,
+		crocushollow.Route{ID: "orders", PathPrefix: "/orders", Upstreams: services, Timeout: 5 * time.Second},
+		crocushollow.Route{
+			ID: "stock", PathPrefix: "/stock", Upstreams: services, Open: true, Repeatable: true, Timeout: 5 * time.Second,
+		})
+}
+
+// Direct returns an upstream's own address.
+func Direct(_, address string) string { return address }
+
+// Edit publishes changes, all of which must be accepted, and waits until they
+// are in force everywhere.
+func Edit(ctx context.Context, client console.Client, changes ...console.Change) error {
+	results, err := client.Edit(ctx, changes)
+	if err != nil {
+		return err
+	}
+	var last uint64
+	for _, result := range results {
+		if result.Error != "" {
+			return errors.New(result.Error)
+		}
+		last = max(last, result.Offset)
+	}
+	_, err = client.Wait(ctx, last)
+	return err
+}
+
+// SetCells publishes new cells of a row, based on its current revision.
+func SetCells(ctx context.Context, client console.Client, ref crocushollow.RowRef, cells ...crocushollow.Cell) error {
+	table, err := client.Table(ctx, ref.Table)
+	if err != nil {
+		return err
+	}
+	for _, row := range table.Rows {
+		if row.ID == ref.ID {
+			return Edit(ctx, client, console.Change{Table: ref.Table, ID: ref.ID, Base: row.Revision, Cells: cells})
+		}
+	}
+	return fmt.Errorf("no row %s", ref)
+}
+
+// modelPoll is the time between two tries to reach a model.
+const modelPoll = 50 * time.Millisecond
+
+// AwaitModel waits until a model answers at an instance.
+func AwaitModel(ctx context.Context, address, secret, model string) error {
+	c := caller.New(secret)
+	defer c.Client.CloseIdleConnections()
+	for {
+		reply, err := c.Complete(ctx, address, caller.Prompt{Model: model, Content: "hello", Tokens: 1})
+		if err == nil && reply.Status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("model %s does not answer (%s): %w", model, reply.Body, errors.Join(err, ctx.Err()))
+		case <-time.After(modelPoll):
+		}
+	}
+}
--- a/transport/connector/engine.go
+++ b/transport/connector/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 
 	"github.com/crocushollow/crocushollow"
@@ -17,7 +18,7 @@
 }
 
 // NewEngines returns a client of the engines.
-func NewEngines() *Engines { return &Engines{client: newClient()} }
+func NewEngines(localAddr net.Addr) *Engines { return &Engines{client: newClient(localAddr)} }
 
 // Report implements controller.Engines.
 func (e *Engines) Report(ctx context.Context, upstream crocushollow.Upstream) (crocushollow.EngineReport, error) {
--- a/transport/connector/instances.go
+++ b/transport/connector/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/crocushollow/crocushollow/coordination/controller"
@@ -16,8 +17,8 @@
 }
 
 // NewInstances returns a client of the list at an address.
-func NewInstances(address string) *Instances {
-	return &Instances{base: "http://" + address, client: newClient()}
+func NewInstances(address string, localAddr net.Addr) *Instances {
+	return &Instances{base: "http://" + address, client: newClient(localAddr)}
 }
 
 // List implements controller.Lister.
--- a/transport/connector/log.go
+++ b/transport/connector/log.go
@@ -24,10 +24,11 @@
 	maxResponseBytes = 64 << 20
 )
 
-// newClient returns an HTTP client whose deadlines come from each context.
-func newClient() *http.Client {
+// newClient returns an HTTP client whose deadlines come from each context and
+// whose connections come from a local address unless it is nil.
+func newClient(localAddr net.Addr) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, LocalAddr: localAddr}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
 	}}
@@ -83,8 +84,8 @@
 }
 
 // NewLog returns a client of the log at an address.
-func NewLog(address string) *Log {
-	return &Log{base: "http://" + address, client: newClient()}
+func NewLog(address string, localAddr net.Addr) *Log {
+	return &Log{base: "http://" + address, client: newClient(localAddr)}
 }
 
 // Append implements publisher.Appender.
--- a/transport/console/message.go
+++ b/transport/console/message.go
@@ -37,6 +37,17 @@
 	Cells []crocushollow.Cell `json:"cells,omitempty"`
 }
 
+// ChangeOf returns the change that adds a row.
+func ChangeOf(row crocushollow.Row) Change {
+	ref := row.Ref()
+	change := Change{Table: ref.Table, ID: ref.ID}
+	texts := crocushollow.Cells(row)
+	for i, column := range crocushollow.Columns(ref.Table) {
+		change.Cells = append(change.Cells, crocushollow.Cell{Column: column, Text: texts[i]})
+	}
+	return change
+}
+
 // EditRequest asks for changes that are published together. Each is accepted or
 // refused by itself.
 type EditRequest struct {
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 
 // Config configures a Forwarder.
 type Config struct {
+	// LocalAddr is where connections come from; nil leaves it to the system.
+	LocalAddr net.Addr
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// ChunkTimeout bounds the time between two chunks of an answer.
@@ -80,7 +82,8 @@
 // the way has forgotten.
 func newTransport(config Config, idle int) *http.Transport {
 	dialer := &net.Dialer{
-		Timeout: config.DialTimeout,
+		Timeout:   config.DialTimeout,
+		LocalAddr: config.LocalAddr,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     time.Second,
--- a/transport/messenger/client.go
+++ b/transport/messenger/client.go
@@ -25,6 +25,9 @@
 // Client calls other instances. It keeps idle connections and closes one whose
 // call has failed, so that a silent connection is used at most once.
 type Client struct {
+	// localAddr is where connections come from; nil leaves it to the system.
+	localAddr net.Addr
+
 	mu   sync.Mutex
 	idle map[string][]idleConn
 }
@@ -35,7 +38,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{idle: make(map[string][]idleConn)} }
+func NewClient(localAddr net.Addr) *Client {
+	return &Client{localAddr: localAddr, idle: make(map[string][]idleConn)}
+}
 
 // Close closes the idle connections.
 func (c *Client) Close() {
@@ -99,7 +104,7 @@
 	if conn := c.takeIdle(address); conn != nil {
 		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.localAddr}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
