Prove the path with real processes behind a fault-injecting proxy

Cause: nothing had run as separate processes under faults. Change: an integration suite that kills, stops, isolates and replaces daemons, silences connections, takes the log away and loses answers. What it found and what was changed: (1) routing stayed on the one upstream whose units an instance held, so that a returned zone got no work in 10 s; an instance now asks for units of the upstream that it would prefer. (2) A planned stop left a use of the weight store open, ran into its deadline and was taken for a crash, which kept units back for 1.4 s and refused 4 requests within their rate; a draining instance now ends those uses, and departs by its own word in any case. Ruled out for (1): placement; the weights were resident in the zone. Conclusion: both faults needed real processes to show.

--- a/coordination/controller/drain.go
+++ b/coordination/controller/drain.go
@@ -47,30 +47,37 @@
 // handOverPoll is the time between two looks at what is still held.
 const handOverPoll = 20 * time.Millisecond
 
+// returnTimeout bounds how long units are returned one by one. A departure by
+// the instance's own word frees the others as well.
+const returnTimeout = time.Second
+
 // HandOver returns all units to their owners and departs. No request may be in
 // flight.
 func (c *Controller) HandOver(ctx context.Context) error {
+	returning, cancel := context.WithTimeout(ctx, returnTimeout)
+	c.returnParts(returning)
+	cancel()
+	self := c.View().Self.Life()
+	return c.config.Publisher.Publish(ctx, crocushollow.Record{
+		ID:         crocushollow.NewID(),
+		Author:     self,
+		Departures: []crocushollow.Life{self},
+	})
+}
+
+func (c *Controller) returnParts(ctx context.Context) {
 	for {
 		e := partsReturned{answer: make(chan bool, 1)}
 		idle, err := ask(ctx, c, e.answer, e)
-		if err != nil {
-			return err
-		}
-		if idle {
-			break
+		if err != nil || idle {
+			return
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-time.After(handOverPoll):
 		}
 	}
-	self := c.View().Self.Life()
-	return c.config.Publisher.Publish(ctx, crocushollow.Record{
-		ID:         crocushollow.NewID(),
-		Author:     self,
-		Departures: []crocushollow.Life{self},
-	})
 }
 
 type partsReturned struct {
--- a/coordination/controller/log.go
+++ b/coordination/controller/log.go
@@ -95,8 +95,7 @@
 func (c *Controller) stateChanged(before *applier.State) {
 	now := time.Now()
 	if c.state().IsDeparted(c.self.Life()) && !c.drain.active {
-		c.config.Logger.Warn().Str("instance", c.self.ID).
-			Msg("declared departed by another instance; joining again with a new incarnation")
+		c.config.Logger.Warn().Msg("declared departed by another instance; joining again with a new incarnation")
 		c.begin()
 	}
 	c.tracker.Update(c.state(), now)
@@ -104,11 +103,26 @@
 	if c.state().Table() != before.Table() {
 		c.followRows(now)
 	}
+	c.logShards(before)
 	c.maintainMembership(now)
 	c.maintainClaims(now)
 	c.send(c.holder.Poll(c.state(), now), now)
 }
 
+// logShards tells operators which shards have come to this instance.
+func (c *Controller) logShards(before *applier.State) {
+	var taken []uint16
+	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
+		life := c.self.Life()
+		if c.state().IsHolder(life, shard) && !before.IsHolder(life, shard) {
+			taken = append(taken, uint16(shard))
+		}
+	}
+	if len(taken) > 0 {
+		c.config.Logger.Info().Uints16("shards", taken).Msg("shards taken over")
+	}
+}
+
 func (c *Controller) logEdits(results []crocushollow.EditResult) {
 	for _, result := range results {
 		entry := c.config.Logger.Info()
--- a/coordination/controller/membership.go
+++ b/coordination/controller/membership.go
@@ -226,7 +226,7 @@
 		delete(c.accusing, life)
 		return
 	}
-	c.config.Logger.Warn().Str("instance", life.Instance).Msg("silent instance declared departed")
+	c.config.Logger.Warn().Str("member", life.Instance).Msg("silent instance declared departed")
 	c.publish(crocushollow.Record{Departures: []crocushollow.Life{life}}, func(error) event {
 		return accusationEnded{life: life}
 	})
--- a/coordination/controller/placement.go
+++ b/coordination/controller/placement.go
@@ -52,7 +52,10 @@
 // maintainPlacement watches the engines that fall to this instance and, as the
 // planner, decides what they should hold.
 func (c *Controller) maintainPlacement(now time.Time) {
-	if now.Before(c.tracker.AssuredUntil()) && !c.drain.active {
+	switch {
+	case c.drain.active:
+		c.dropHosts(func(string) bool { return true })
+	case now.Before(c.tracker.AssuredUntil()):
 		c.watchEngines(now)
 	}
 	if now.Sub(c.rounds.plan) >= c.config.Timing.PlanInterval {
@@ -85,8 +88,14 @@
 		held[upstream.ID] = true
 		c.host(upstream, c.state().Holding(shard).Term)
 	}
+	c.dropHosts(func(id string) bool { return !held[id] })
+}
+
+// dropHosts forgets engines and ends their use of the weight store.
+func (c *Controller) dropHosts(isGone func(id string) bool) {
 	for id, host := range c.placement.hosts {
-		if !held[id] {
+		if isGone(id) {
+			host.publishing = false
 			c.releaseLoads(host, nil)
 			delete(c.placement.hosts, id)
 		}
--- /dev/null
+++ b/integration/command_test.go
@@ -0,0 +1,39 @@
+package integration_test
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+)
+
+func command(file string) *exec.Cmd {
+	return exec.Command(binary, "--config", file)
+}
+
+var _ = Describe("crocushollowd", func() {
+	It("names what is wrong with its settings and exits with 2", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "bad.toml")
+		Expect(os.WriteFile(file, []byte("[instance]\nid = \"a\"\ncolour = \"red\"\n"), 0o600)).To(Succeed())
+		session, err := gexec.Start(command(file), nil, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(session, "5s").Should(gexec.Exit(2))
+		Expect(session.Err).To(gbytes.Say(`bad.toml:3: instance.colour: no such field`))
+	})
+
+	It("stops at once on a second signal", func() {
+		f := startFleet(1)
+		p := f.running()[0]
+		p.session.Signal(syscall.SIGTERM)
+		// The system merges equal signals that come together.
+		time.Sleep(200 * time.Millisecond)
+		p.session.Signal(syscall.SIGTERM)
+		Eventually(p.session, "2s").Should(gexec.Exit())
+	})
+})
--- /dev/null
+++ b/integration/fault_test.go
@@ -0,0 +1,252 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/standin/caller"
+	"github.com/crocushollow/crocushollow/standin/faultproxy"
+	"github.com/crocushollow/crocushollow/standin/logserver"
+	"github.com/crocushollow/crocushollow/standin/plainserver"
+	"github.com/crocushollow/crocushollow/standin/stager"
+)
+
+var _ = Describe("a fleet under load", func() {
+	It("is replaced instance by instance without a failed request", func() {
+		f := startFleet(3)
+		d := &directory{fleet: f}
+		finish := f.load(8, 20, d.address)
+		for _, old := range f.running() {
+			f.start(old.zone)
+			f.awaitReady()
+			old.session.Signal(syscall.SIGTERM)
+			Eventually(old.session, "20s").Should(gexec.Exit(0))
+			f.forget(old)
+		}
+		t := finish()
+		Expect(t.broken).To(BeEmpty())
+		Expect(t.crossed).To(BeEmpty())
+		Expect(t.refused).To(BeEmpty())
+		Expect(t.whole).To(BeNumerically(">", 100))
+	})
+
+	It("serves on when an instance is killed, and its shards are taken over", func() {
+		f := startFleet(4)
+		victim := f.running()[0]
+		survivors := f.running()[1:]
+		finish := f.load(6, 20, func(i int) string { return survivors[i%len(survivors)].callers })
+		time.Sleep(time.Second)
+		f.kill(victim)
+		time.Sleep(4 * time.Second)
+		t := finish()
+		Expect(t.broken).To(BeEmpty())
+		Expect(t.crossed).To(BeEmpty())
+		Expect(t.refused).To(BeEmpty())
+		status, err := f.client().Status(ctxOf(5 * time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		shards := 0
+		for _, instance := range status.Instances {
+			shards += instance.Shards
+		}
+		Expect(shards).To(Equal(crocushollow.ShardCount))
+	})
+
+	It("resumes streams whose upstream connections go silent for good", func() {
+		f := startFleet(3)
+		finish := f.load(6, 400, func(i int) string { return f.running()[i%3].callers })
+		time.Sleep(time.Second)
+		for _, proxy := range f.upstream {
+			proxy.SilenceOpen()
+		}
+		time.Sleep(6 * time.Second)
+		t := finish()
+		Expect(t.broken).To(BeEmpty())
+		Expect(t.crossed).To(BeEmpty())
+		Expect(t.whole).To(BeNumerically(">=", 6))
+	})
+
+	It("serves on and gives a true answer to calls that must not run twice while the log is away", func() {
+		f := startFleet(3)
+		finish := f.load(4, 20, func(i int) string { return f.running()[i%3].callers })
+		f.site.Log.SetFaults(logserver.Faults{Outage: true})
+		time.Sleep(4 * time.Second)
+		reply := f.order(f.running()[0], "away")
+		Expect(reply.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(reply.Outcome()).To(Equal("not_run"))
+		f.site.Log.SetFaults(logserver.Faults{})
+		Eventually(func() int { return f.order(f.running()[1], "back").Status }, "10s").Should(Equal(http.StatusOK))
+		t := finish()
+		Expect(t.broken).To(BeEmpty())
+		Expect(t.refused).To(BeEmpty())
+		Expect(f.executions("away")).To(BeZero())
+		Expect(f.executions("back")).To(Equal(1))
+	})
+
+	It("gives no new work to a zone taken out, and work again when it is back", func() {
+		f := startFleet(3)
+		finish := f.load(6, 10, func(i int) string { return f.running()[i%3].callers })
+		time.Sleep(500 * time.Millisecond)
+		zone := crocushollow.RowRef{Table: crocushollow.AvailabilityZoneTable, ID: f.zoneOf("letters")}
+		inService := func(text string) {
+			Expect(stager.SetCells(ctxOf(5*time.Second), f.client(), zone,
+				crocushollow.Cell{Column: "in_service", Text: text})).To(Succeed())
+		}
+		requests := func() int {
+			sum := 0
+			for _, engine := range f.site.Engines {
+				if engine.Zone == zone.ID {
+					sum += engine.Server.Observe().Requests
+				}
+			}
+			return sum
+		}
+		inService("false")
+		time.Sleep(4 * time.Second)
+		before := requests()
+		time.Sleep(time.Second)
+		Expect(requests()).To(Equal(before))
+		inService("true")
+		Eventually(requests, "10s").Should(BeNumerically(">", before))
+		t := finish()
+		Expect(t.broken).To(BeEmpty())
+		Expect(t.refused).To(BeEmpty())
+	})
+})
+
+// zoneOf returns an availability zone that serves a model.
+func (f *fleet) zoneOf(model string) string {
+	for _, engine := range f.site.Engines {
+		if slices.Contains(engine.Server.Loaded(), model+"@1") {
+			return engine.Zone
+		}
+	}
+	return ""
+}
+
+// order sends an order with an idempotency key.
+func (f *fleet) order(p *process, key string) caller.Reply {
+	header := http.Header{"Idempotency-Key": {key}}
+	reply, err := caller.New(f.secrets["hives"]).Send(context.Background(), http.MethodPost, p.callers, "/orders", header, `{"pairs":1}`)
+	if err != nil {
+		return caller.Reply{}
+	}
+	return reply
+}
+
+func (f *fleet) executions(key string) int {
+	count := 0
+	for _, service := range f.site.Services {
+		for _, execution := range service.Server.Executions() {
+			if execution.Key == key {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+var _ = Describe("an instance", func() {
+	answers := func(f *fleet, p *process) int {
+		c := caller.New(f.secrets["hives"])
+		c.Client.Timeout = 2 * time.Second
+		reply, err := c.Complete(context.Background(), p.callers, caller.Prompt{Model: "letters", Content: "x", Tokens: 1})
+		if err != nil {
+			return 0
+		}
+		return reply.Status
+	}
+
+	It("stops honouring keys within seconds when it is cut off alone, and serves again when it is back", func() {
+		f := startFleet(4)
+		alone := f.running()[3]
+		Expect(answers(f, alone)).To(Equal(http.StatusOK))
+		f.isolate(alone, faultproxy.Silent)
+		Eventually(func() int { return answers(f, alone) }, "4s", "100ms").Should(Equal(http.StatusServiceUnavailable))
+		Consistently(func() int { return answers(f, alone) }, "1s", "200ms").Should(Equal(http.StatusServiceUnavailable))
+		Expect(answers(f, f.running()[0])).To(Equal(http.StatusOK))
+		f.isolate(alone, faultproxy.Pass)
+		Eventually(func() int { return answers(f, alone) }, "10s", "100ms").Should(Equal(http.StatusOK))
+	})
+
+	It("does nothing with what it held when it wakes from a pause", func() {
+		f := startFleet(4)
+		paused := f.running()[0]
+		paused.session.Signal(syscall.SIGSTOP)
+		others := f.running()[1:]
+		Eventually(func() int {
+			status, err := consoleOf(others[0]).Status(ctxOf(time.Second))
+			if err != nil {
+				return 0
+			}
+			shards := 0
+			for _, instance := range status.Instances {
+				shards += instance.Shards
+			}
+			if len(status.Instances) != 3 {
+				return 0
+			}
+			return shards
+		}, "6s", "50ms").Should(Equal(crocushollow.ShardCount))
+		paused.session.Signal(syscall.SIGCONT)
+		Eventually(func() int { return answers(f, paused) }, "10s", "100ms").Should(Equal(http.StatusOK))
+		status, err := consoleOf(others[0]).Status(ctxOf(time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		for _, instance := range status.Instances {
+			if instance.ID == paused.id {
+				Expect(instance.Shards).To(BeZero())
+			}
+		}
+	})
+})
+
+var _ = Describe("a call with an idempotency key", func() {
+	It("runs at most once although answers are lost, callers repeat it everywhere and an instance dies", func() {
+		f := startFleet(4)
+		for _, service := range f.site.Services {
+			service.Server.SetFaults(plainserver.Faults{LostAnswers: 0.3, Delay: 20 * time.Millisecond})
+		}
+		f.site.Log.SetFaults(logserver.Faults{LostAnswers: 0.2})
+		const keys, repeats = 20, 4
+		outcomes := make([][]caller.Reply, keys)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for k := range keys {
+			for r := range repeats {
+				group.Go(func() {
+					time.Sleep(time.Duration(k*60+r*25) * time.Millisecond)
+					processes := f.running()
+					reply := f.order(processes[(k+r)%len(processes)], fmt.Sprint("order-", k))
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[k] = append(outcomes[k], reply)
+				})
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		f.kill(f.running()[0])
+		group.Wait()
+		for k := range keys {
+			runs := f.executions(fmt.Sprint("order-", k))
+			Expect(runs).To(BeNumerically("<=", 1))
+			for _, reply := range outcomes[k] {
+				if reply.Status == http.StatusOK {
+					Expect(runs).To(Equal(1))
+				}
+				if runs == 1 && reply.Outcome() == "not_run" {
+					// Only a repeat may be told so, never all of them.
+					Expect(outcomes[k]).To(ContainElement(Not(HaveField("Outcome()", "not_run"))))
+				}
+			}
+		}
+	})
+})
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -14,6 +14,7 @@
 	"github.com/crocushollow/crocushollow/protocol/refuser"
 	"github.com/crocushollow/crocushollow/state/applier"
 	"github.com/crocushollow/crocushollow/state/balancer"
+	"github.com/crocushollow/crocushollow/state/detector"
 	"github.com/crocushollow/crocushollow/state/limiter"
 	"github.com/crocushollow/crocushollow/state/placer"
 	"github.com/crocushollow/crocushollow/state/scheduler"
@@ -22,6 +23,7 @@
 // Health tells which upstreams fail.
 type Health interface {
 	IsAvoided(upstream string, now time.Time) bool
+	Status(upstream string) detector.Status
 }
 
 // Lender asks the owner of a limit for units.
@@ -292,53 +294,77 @@
 	d.Wake()
 }
 
-// choose returns a lease of the best free upstream, or nil. The caller holds
-// the lineup's lock.
+// choose returns a lease of the best upstream, or nil if none is free. If the
+// instance holds no free unit of the best one, it asks for more of that for the
+// requests to come and takes the best of the others. The caller holds the
+// lineup's lock.
 func (d *Dispatcher) choose(l *lineup, request *Request, now time.Time) *Lease {
 	routes := d.routes(l, request)
 	candidates := d.candidates(l, routes, request, now)
+	best := d.config.Policy.Choose(candidates, request.Prefix)
+	if best < 0 {
+		return nil
+	}
+	if lease := d.take(l, &routes[best], request); lease != nil {
+		return lease
+	}
+	d.config.Lender.Want(routes[best].key, 1)
+	for i := range candidates {
+		candidates[i].Free = candidates[i].Free && routes[i].flight.Free() > 0
+	}
 	for {
 		chosen := d.config.Policy.Choose(candidates, request.Prefix)
 		if chosen < 0 {
 			return nil
 		}
-		route := &routes[chosen]
-		if route.flight.Acquire() {
-			l.inFlight++
-			return &Lease{Upstream: route.upstream, lineup: l, flight: route.flight, tokens: request.Tokens}
+		if lease := d.take(l, &routes[chosen], request); lease != nil {
+			return lease
 		}
 		candidates[chosen].Free = false
 	}
 }
 
-// candidates fills the lineup's scratch space with the state of its routes.
+// take returns a lease of a route if the instance holds a free unit of it.
+func (d *Dispatcher) take(l *lineup, r *route, request *Request) *Lease {
+	if !r.flight.Acquire() {
+		return nil
+	}
+	l.inFlight++
+	return &Lease{Upstream: r.upstream, lineup: l, flight: r.flight, tokens: request.Tokens}
+}
+
+// candidates fills the lineup's scratch space with the routes that a request
+// may take, whether or not the instance holds units of them.
 func (d *Dispatcher) candidates(l *lineup, routes []route, request *Request, now time.Time) []balancer.Candidate {
 	candidates := l.scratch[:0]
 	for i := range routes {
 		r := &routes[i]
-		usable := !slices.Contains(request.Tried, r.upstream.ID) && !d.config.Health.IsAvoided(r.upstream.ID, now)
 		candidates = append(candidates, balancer.Candidate{
 			ID:    r.upstream.ID,
 			Hash:  r.hash,
-			Load:  float64(r.flight.Used()) / float64(r.upstream.MaxInFlight),
+			Load:  d.load(r),
 			Local: r.upstream.AvailabilityZone == d.config.AvailabilityZone,
-			Free:  usable && r.flight.Free() > 0,
+			Free:  !slices.Contains(request.Tried, r.upstream.ID) && !d.config.Health.IsAvoided(r.upstream.ID, now),
 		})
 	}
 	l.scratch = candidates
 	return candidates
 }
 
-// borrow asks for a unit of the upstream that suits a request best.
+// load returns the fraction of an upstream's limit that is in use: what the
+// upstream has reported, which lags, or the instance's own requests if these
+// are more already.
+func (d *Dispatcher) load(r *route) float64 {
+	inFlight := max(d.config.Health.Status(r.upstream.ID).InFlight, r.flight.Used())
+	return float64(inFlight) / float64(r.upstream.MaxInFlight)
+}
+
+// borrow asks for units of the upstreams that suit a request best. A few are
+// asked at once, so that one whose limit is used up does not hold the request
+// back.
 func (d *Dispatcher) borrow(l *lineup, request *Request, now time.Time) {
 	routes := d.routes(l, request)
 	candidates := d.candidates(l, routes, request, now)
-	for i := range candidates {
-		id := routes[i].upstream.ID
-		candidates[i].Free = !slices.Contains(request.Tried, id) && !d.config.Health.IsAvoided(id, now)
-	}
-	// A few upstreams are asked at once, so that one whose limit is used up
-	// does not hold the request back.
 	for range borrowFrom {
 		chosen := d.config.Policy.Choose(candidates, request.Prefix)
 		if chosen < 0 {
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -128,6 +128,7 @@
 }
 
 func (p *Proxy) open(client net.Conn) {
+	dialer := net.Dialer{Timeout: time.Second}
 	source := sourceOf(client)
 	p.mu.Lock()
 	target := p.target
@@ -136,7 +137,7 @@
 		_ = client.Close()
 		return
 	}
-	upstream, err := net.DialTimeout("tcp", target, time.Second)
+	upstream, err := dialer.DialContext(context.Background(), "tcp", target)
 	if err != nil {
 		_ = client.Close()
 		return
--- a/state/applier/applier_test.go
+++ b/state/applier/applier_test.go
@@ -77,7 +77,7 @@
 	})
 
 	It("applies a record once that is appended twice, also when the row is gone in between", func() {
-		record := crocushollow.Record{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a", 1)}}
+		record := crocushollow.Record{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a")}}
 		Expect(r.apply(record)[0].Err).NotTo(HaveOccurred())
 		ref := record.Edits[0].Ref
 		gone := crocushollow.Edit{ID: crocushollow.NewID(), Ref: ref, Base: r.state.Table().Entry(ref).Revision, Delete: true}
@@ -105,7 +105,7 @@
 		before := r.state.Table()
 		r.state = r.state.WithSkipped(r.state.Offset())
 		Expect(r.state.Table()).To(BeIdenticalTo(before))
-		Expect(r.apply(crocushollow.Record{Edits: []crocushollow.Edit{add("a", 1)}})[0].Err).NotTo(HaveOccurred())
+		Expect(r.apply(crocushollow.Record{Edits: []crocushollow.Edit{add("a")}})[0].Err).NotTo(HaveOccurred())
 	})
 
 	It("comes out of a snapshot as it went in", func() {
@@ -131,8 +131,8 @@
 	})
 })
 
-func add(id string, rate int64) crocushollow.Edit {
-	row := crocushollow.Workspace{ID: id, TokenRate: rate, TokenBurst: 1, Weight: 1}
+func add(id string) crocushollow.Edit {
+	row := crocushollow.Workspace{ID: id, TokenRate: 1, TokenBurst: 1, Weight: 1}
 	return crocushollow.Edit{ID: crocushollow.NewID(), Ref: row.Ref(), Value: crocushollow.NewRowValue(row)}
 }
 
@@ -150,7 +150,7 @@
 	case 2:
 		record.Claims = []crocushollow.Claim{{Shard: 1, Holder: life, Follows: follows}}
 	case 3:
-		edit := add(id, 1)
+		edit := add(id)
 		edit.Base = follows
 		record.Edits = []crocushollow.Edit{edit}
 	case 4:
@@ -193,7 +193,7 @@
 // FuzzBatch feeds the decoder of log entries.
 func FuzzBatch(f *testing.F) {
 	valid, err := encoder.Encode(crocushollow.Batch{Version: 1, Records: []crocushollow.Record{
-		{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a", 1)}, Joins: []crocushollow.Member{member("one", 1)}},
+		{ID: crocushollow.NewID(), Edits: []crocushollow.Edit{add("a")}, Joins: []crocushollow.Member{member("one", 1)}},
 	}})
 	if err != nil {
 		f.Fatal(err)
