--- a/coordination/claimer/claimer.go
+++ b/coordination/claimer/claimer.go
@@ -18,10 +18,14 @@
 // Claims returns the claims that an instance should publish: those of vacant
 // shards for which it ranks first among the eligible members.
 func Claims(state *applier.State, self crocushollow.Life, eligible Eligible) []crocushollow.Claim {
+	vacant := vacantShards(state)
+	if len(vacant) == 0 {
+		return nil
+	}
 	candidates := eligibleMembers(state, eligible)
 	var claims []crocushollow.Claim
-	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
-		if !state.IsVacant(shard) || Preferred(shard, candidates) != self {
+	for _, shard := range vacant {
+		if Preferred(shard, candidates) != self {
 			continue
 		}
 		claims = append(claims, crocushollow.Claim{
@@ -33,6 +37,16 @@
 	return claims
 }
 
+func vacantShards(state *applier.State) []crocushollow.Shard {
+	var vacant []crocushollow.Shard
+	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
+		if state.IsVacant(shard) {
+			vacant = append(vacant, shard)
+		}
+	}
+	return vacant
+}
+
 // Releases returns the records that hand back every shard an instance holds.
 func Releases(state *applier.State, self crocushollow.Life) []crocushollow.Claim {
 	var releases []crocushollow.Claim
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,14 +42,16 @@
 	// changed has one element while the guard has a new state to look at.
 	changed chan struct{}
 
-	parts      *limiter.Registry
-	detector   *detector.Detector
-	historian  *historian.Historian
-	recorder   *recorder.Recorder
-	sessions   *authenticator.Sessions
-	peers      *messenger.Client
-	sender     *forwarder.Forwarder
-	publisher  *publisher.Publisher
+	parts     *limiter.Registry
+	detector  *detector.Detector
+	historian *historian.Historian
+	recorder  *recorder.Recorder
+	sessions  *authenticator.Sessions
+	peers     *messenger.Client
+	sender    *forwarder.Forwarder
+	publisher *publisher.Publisher
+	// relay appends the records of other instances. It never relays them on.
+	relay      *publisher.Publisher
 	controller *controller.Controller
 	dispatcher *dispatcher.Dispatcher
 	gateway    *gateway.Gateway
@@ -69,7 +71,7 @@
 		historian: historian.New(),
 		recorder:  recorder.New(),
 		sessions:  authenticator.NewSessions(),
-		peers:     messenger.NewClient(settings.localAddr()),
+		peers:     messenger.NewClient(settings.source()),
 	}
 	d.assembleControl()
 	d.assembleTraffic()
@@ -89,15 +91,10 @@
 
 func (d *Daemon) assembleControl() {
 	s := d.settings
-	log := connector.NewLog(s.Platform.Log, s.localAddr())
+	log := connector.NewLog(s.Platform.Log, s.source())
 	appender := &relayAppender{log: log, peers: d.peers}
-	d.publisher = publisher.New(publisher.Config{
-		Appender:      appender,
-		Settler:       settler{d},
-		AppendTimeout: 4 * time.Duration(s.Timing.CallTimeout),
-		MaxBatchBytes: maxBatchBytes,
-		Interval:      appendInterval,
-	})
+	d.publisher = d.newPublisher(appender)
+	d.relay = d.newPublisher(log)
 	d.controller = controller.New(controller.Config{
 		Member: crocushollow.Member{
 			ID:               s.Instance.ID,
@@ -109,8 +106,8 @@
 		Log:        log,
 		Publisher:  d.publisher,
 		Peers:      d.peers,
-		Engines:    connector.NewEngines(s.localAddr()),
-		Lister:     connector.NewInstances(s.Platform.Instances, s.localAddr()),
+		Engines:    connector.NewEngines(s.source()),
+		Lister:     connector.NewInstances(s.Platform.Instances, s.source()),
 		Detector:   d.detector,
 		Parts:      d.parts,
 		Planner:    s.planner(),
@@ -125,10 +122,20 @@
 	appender.view = d.controller.View
 }
 
+func (d *Daemon) newPublisher(appender publisher.Appender) *publisher.Publisher {
+	return publisher.New(publisher.Config{
+		Appender:      appender,
+		Settler:       settler{d},
+		AppendTimeout: 4 * time.Duration(d.settings.Timing.CallTimeout),
+		MaxBatchBytes: maxBatchBytes,
+		Interval:      appendInterval,
+	})
+}
+
 func (d *Daemon) assembleTraffic() {
 	s := d.settings
 	d.sender = forwarder.New(forwarder.Config{
-		LocalAddr:          s.localAddr(),
+		Source:             s.source(),
 		DialTimeout:        300 * time.Millisecond,
 		ChunkTimeout:       time.Duration(s.Calls.ChunkTimeout),
 		MaxIdlePerUpstream: 64,
@@ -302,6 +309,7 @@
 	group.Go(func() error { return peerServer.Serve(ctx, listeners.Peers) })
 	group.Go(func() error { d.controller.Run(ctx); return nil })
 	group.Go(func() error { d.publisher.Run(ctx); return nil })
+	group.Go(func() error { d.relay.Run(ctx); return nil })
 	group.Go(func() error { d.dispatcher.Run(ctx); return nil })
 	group.Go(func() error { d.guard(ctx); return nil })
 	group.Go(func() error {
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net"
 	"net/netip"
 	"time"
 
@@ -13,20 +12,23 @@
 	"github.com/crocushollow/crocushollow/transport/console"
 )
 
-// localAddr returns the address that connections to others come from, so that
-// they are told apart on a host with several addresses.
-func (s Settings) localAddr() net.Addr {
-	address, err := netip.ParseAddrPort(s.Listen.Peers)
-	if err != nil || address.Addr().IsUnspecified() {
-		return nil
+// source returns the address that connections to others come from.
+func (s Settings) source() netip.Addr {
+	source, err := netip.ParseAddr(s.Listen.Source)
+	if err != nil {
+		return netip.Addr{}
 	}
-	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(address.Addr(), 0))
+	return source
 }
 
+// ticksPerProbe is the number of rounds of the control goroutine per probe.
+const ticksPerProbe = 4
+
 func (s Settings) timing() controller.Timing {
 	timing := controller.DefaultTiming()
 	timing.Lease = time.Duration(s.Timing.Lease)
 	timing.ProbeInterval = time.Duration(s.Timing.ProbeInterval)
+	timing.Tick = timing.ProbeInterval / ticksPerProbe
 	timing.SuspectAfter = time.Duration(s.Timing.SuspectAfter)
 	timing.ExchangeInterval = time.Duration(s.Timing.ExchangeInterval)
 	timing.ReportInterval = time.Duration(s.Timing.ReportInterval)
--- a/daemon/relay.go
+++ b/daemon/relay.go
@@ -62,7 +62,7 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	for _, record := range batch.Records {
-		group.Go(func() error { return h.daemon.publisher.Publish(ctx, record) })
+		group.Go(func() error { return h.daemon.relay.Publish(ctx, record) })
 	}
 	if err := group.Wait(); err != nil {
 		return controller.PublishReply{}, err
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -60,6 +60,9 @@
 	Callers   string `toml:"callers"`
 	Peers     string `toml:"peers"`
 	Operators string `toml:"operators"`
+	// Source is the IP number that connections to others come from; empty
+	// leaves it to the system.
+	Source string `toml:"source"`
 }
 
 // AdvertiseSettings holds the addresses that others connect to where they
@@ -279,6 +282,7 @@
 		isAddress("listen.callers", s.Listen.Callers),
 		isAddress("listen.peers", s.Listen.Peers),
 		isAddress("listen.operators", s.Listen.Operators),
+		isIPIfSet("listen.source", s.Listen.Source),
 		isAddressIfSet("advertise.callers", s.Advertise.Callers),
 		isAddressIfSet("advertise.peers", s.Advertise.Peers),
 		isAddress("platform.log", s.Platform.Log),
@@ -362,6 +366,16 @@
 	return isAddress(field, value)
 }
 
+func isIPIfSet(field, value string) *SettingsError {
+	if value == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddr(value); err != nil {
+		return &SettingsError{Field: field, Reason: fmt.Sprintf("%q is not an IP number", value)}
+	}
+	return nil
+}
+
 func isPositive(field string, value int64) *SettingsError {
 	if value <= 0 {
 		return &SettingsError{Field: field, Reason: "must be greater than 0"}
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -132,6 +132,7 @@
 callers = %q
 peers = %q
 operators = %q
+source = %q
 [advertise]
 peers = %q
 [platform]
@@ -154,7 +155,7 @@
 	p := &process{id: id, zone: zone, ip: netip.AddrFrom4([4]byte{127, 0, byte(1 + host/250), byte(1 + host%250)})}
 	p.callers, p.peers, p.console = freePort(p.ip), freePort(p.ip), freePort(p.ip)
 	p.proxy = f.startProxy(p.peers)
-	text := fmt.Sprintf(settingsFormat, p.id, p.zone, p.callers, p.peers, p.console,
+	text := fmt.Sprintf(settingsFormat, p.id, p.zone, p.callers, p.peers, p.console, p.ip,
 		p.proxy.Address(), f.log.Address(), f.list.Address())
 	file := filepath.Join(f.dir, p.id+".toml")
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
--- a/state/applier/apply.go
+++ b/state/applier/apply.go
@@ -63,7 +63,6 @@
 		return
 	}
 	s.members = cloneMap(s.members)
-	s.membersChanged++
 	for _, member := range record.Joins {
 		s.join(member)
 	}
@@ -77,6 +76,7 @@
 			s.members[life.Instance] = member
 		}
 	}
+	s.sortMembers()
 }
 
 // join adds a member. A new life of an instance ends the one before it.
--- a/state/applier/snapshot.go
+++ b/state/applier/snapshot.go
@@ -114,6 +114,7 @@
 	for _, member := range data.Members {
 		s.members[member.ID] = member
 	}
+	s.sortMembers()
 	s.holdings = make(map[crocushollow.Shard]crocushollow.Holding, len(data.Holdings))
 	for _, holding := range data.Holdings {
 		s.holdings[holding.Shard] = holding
--- a/state/applier/state.go
+++ b/state/applier/state.go
@@ -33,6 +33,8 @@
 	table  *crocushollow.Table
 	// members holds the lives that have joined and not departed.
 	members map[string]crocushollow.Member
+	// sorted lists the members by ID. It is replaced, never changed.
+	sorted []crocushollow.Member
 	// membersChanged counts the changes of members.
 	membersChanged uint64
 	// departed tells of each departed life whether it departed by its own word.
@@ -74,11 +76,15 @@
 // Table returns the rows.
 func (s *State) Table() *crocushollow.Table { return s.table }
 
-// Members returns the joined members sorted by ID.
-func (s *State) Members() []crocushollow.Member {
-	members := slices.Collect(maps.Values(s.members))
-	slices.SortFunc(members, func(a, b crocushollow.Member) int { return strings.Compare(a.ID, b.ID) })
-	return members
+// Members returns the joined members sorted by ID. The caller must not change
+// the list.
+func (s *State) Members() []crocushollow.Member { return s.sorted }
+
+// sortMembers follows a change of the members.
+func (s *State) sortMembers() {
+	s.membersChanged++
+	s.sorted = slices.Collect(maps.Values(s.members))
+	slices.SortFunc(s.sorted, func(a, b crocushollow.Member) int { return strings.Compare(a.ID, b.ID) })
 }
 
 // MembersChanged returns a number that grows with every change of the members.
--- a/transport/connector/engine.go
+++ b/transport/connector/engine.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/crocushollow/crocushollow"
 )
@@ -18,7 +18,7 @@
 }
 
 // NewEngines returns a client of the engines.
-func NewEngines(localAddr net.Addr) *Engines { return &Engines{client: newClient(localAddr)} }
+func NewEngines(source netip.Addr) *Engines { return &Engines{client: newClient(source)} }
 
 // Report implements controller.Engines.
 func (e *Engines) Report(ctx context.Context, upstream crocushollow.Upstream) (crocushollow.EngineReport, error) {
--- a/transport/connector/instances.go
+++ b/transport/connector/instances.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/crocushollow/crocushollow/coordination/controller"
 )
@@ -17,8 +17,8 @@
 }
 
 // NewInstances returns a client of the list at an address.
-func NewInstances(address string, localAddr net.Addr) *Instances {
-	return &Instances{base: "http://" + address, client: newClient(localAddr)}
+func NewInstances(address string, source netip.Addr) *Instances {
+	return &Instances{base: "http://" + address, client: newClient(source)}
 }
 
 // List implements controller.Lister.
--- a/transport/connector/log.go
+++ b/transport/connector/log.go
@@ -8,13 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/crocushollow/crocushollow/coordination/follower"
+	"github.com/crocushollow/crocushollow/transport/dialer"
 )
 
 // Bounds of connections to the platform and the engines' control side.
@@ -25,10 +26,10 @@
 )
 
 // newClient returns an HTTP client whose deadlines come from each context and
-// whose connections come from a local address unless it is nil.
-func newClient(localAddr net.Addr) *http.Client {
+// whose connections come from a source address.
+func newClient(source netip.Addr) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, LocalAddr: localAddr}).DialContext,
+		DialContext:         dialer.New(dialer.Config{Source: source, Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
 	}}
@@ -84,8 +85,8 @@
 }
 
 // NewLog returns a client of the log at an address.
-func NewLog(address string, localAddr net.Addr) *Log {
-	return &Log{base: "http://" + address, client: newClient(localAddr)}
+func NewLog(address string, source netip.Addr) *Log {
+	return &Log{base: "http://" + address, client: newClient(source)}
 }
 
 // Append implements publisher.Appender.
--- /dev/null
+++ b/transport/dialer/dialer.go
@@ -0,0 +1,41 @@
+// Package dialer opens TCP connections from a chosen address.
+package dialer
+
+import (
+	"net"
+	"net/netip"
+	"time"
+)
+
+// Config configures a dialer.
+type Config struct {
+	// Source is where connections come from; its zero value leaves it to the
+	// system.
+	Source netip.Addr
+	// Timeout bounds the time to open a connection.
+	Timeout time.Duration
+	// KeepAlive is the time after which an idle connection is probed, and
+	// between two probes. Three lost probes end the connection.
+	KeepAlive time.Duration
+}
+
+// lostProbes is the number of unanswered probes that end a connection.
+const lostProbes = 3
+
+// New returns a dialer.
+func New(config Config) *net.Dialer {
+	dialer := &net.Dialer{
+		Timeout: config.Timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     config.KeepAlive,
+			Interval: config.KeepAlive,
+			Count:    lostProbes,
+		},
+	}
+	if config.Source.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(config.Source, 0))
+		dialer.Control = bindLate
+	}
+	return dialer
+}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -11,9 +11,9 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -23,6 +23,7 @@
 
 	"github.com/crocushollow/crocushollow/protocol/executor"
 	"github.com/crocushollow/crocushollow/state/scheduler"
+	"github.com/crocushollow/crocushollow/transport/dialer"
 )
 
 // Headers between the system and its upstreams.
@@ -49,8 +50,8 @@
 
 // Config configures a Forwarder.
 type Config struct {
-	// LocalAddr is where connections come from; nil leaves it to the system.
-	LocalAddr net.Addr
+	// Source is where connections come from.
+	Source netip.Addr
 	// DialTimeout bounds the time to open a connection.
 	DialTimeout time.Duration
 	// ChunkTimeout bounds the time between two chunks of an answer.
@@ -81,18 +82,9 @@
 // their number is negative. TCP keep-alive finds connections that a device on
 // the way has forgotten.
 func newTransport(config Config, idle int) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:   config.DialTimeout,
-		LocalAddr: config.LocalAddr,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     time.Second,
-			Interval: time.Second,
-			Count:    3,
-		},
-	}
+	dial := dialer.New(dialer.Config{Source: config.Source, Timeout: config.DialTimeout, KeepAlive: time.Second})
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dial.DialContext,
 		MaxIdleConnsPerHost: idle,
 		DisableKeepAlives:   idle < 0,
 		IdleConnTimeout:     config.IdleTimeout,
--- a/transport/messenger/client.go
+++ b/transport/messenger/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,23 +14,26 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/coordination/controller"
 	"github.com/crocushollow/crocushollow/coordination/sharer"
+	"github.com/crocushollow/crocushollow/transport/dialer"
 )
 
 // Bounds of the connections to one peer.
 const (
 	maxIdlePerPeer = 4
-	maxIdleTime    = time.Minute
+	maxIdle        = 16
+	maxIdleTime    = 10 * time.Second
 	dialTimeout    = 300 * time.Millisecond
 )
 
 // Client calls other instances. It keeps idle connections and closes one whose
 // call has failed, so that a silent connection is used at most once.
 type Client struct {
-	// localAddr is where connections come from; nil leaves it to the system.
-	localAddr net.Addr
+	dialer *net.Dialer
 
 	mu   sync.Mutex
 	idle map[string][]idleConn
+	// idleCount is the number of connections in idle.
+	idleCount int
 }
 
 type idleConn struct {
@@ -37,9 +41,12 @@
 	since time.Time
 }
 
-// NewClient returns a client without connections.
-func NewClient(localAddr net.Addr) *Client {
-	return &Client{localAddr: localAddr, idle: make(map[string][]idleConn)}
+// NewClient returns a client whose connections come from a source address.
+func NewClient(source netip.Addr) *Client {
+	return &Client{
+		dialer: dialer.New(dialer.Config{Source: source, Timeout: dialTimeout, KeepAlive: time.Second}),
+		idle:   make(map[string][]idleConn),
+	}
 }
 
 // Close closes the idle connections.
@@ -52,6 +59,7 @@
 		}
 		delete(c.idle, address)
 	}
+	c.idleCount = 0
 }
 
 // Probe implements controller.Peers.
@@ -104,8 +112,7 @@
 	if conn := c.takeIdle(address); conn != nil {
 		return conn, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: c.localAddr}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +127,7 @@
 		last := conns[len(conns)-1]
 		conns = conns[:len(conns)-1]
 		c.idle[address] = conns
+		c.idleCount--
 		if !isClosed(last.conn) && time.Since(last.since) < maxIdleTime {
 			return last.conn
 		}
@@ -141,11 +149,34 @@
 func (c *Client) giveBack(address string, conn *drpcconn.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerPeer {
+	if c.idleCount >= maxIdle {
+		c.sweep()
+	}
+	if len(c.idle[address]) >= maxIdlePerPeer || c.idleCount >= maxIdle {
 		_ = conn.Close()
 		return
 	}
 	c.idle[address] = append(c.idle[address], idleConn{conn: conn, since: time.Now()})
+	c.idleCount++
+}
+
+// sweep closes the connections that have been idle for too long.
+func (c *Client) sweep() {
+	for address, conns := range c.idle {
+		kept := conns[:0]
+		for _, idle := range conns {
+			if time.Since(idle.since) < maxIdleTime && !isClosed(idle.conn) {
+				kept = append(kept, idle)
+				continue
+			}
+			_ = idle.conn.Close()
+			c.idleCount--
+		}
+		c.idle[address] = kept
+		if len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
 }
 
 // bytesMoved counts the bytes sent to and received from peers by this process.
