--- a/cmd/crocushollow-bench/judge.go
+++ b/cmd/crocushollow-bench/judge.go
@@ -27,12 +27,14 @@
 	// RefusedWithinRate is the fraction of requests refused although their
 	// workspace was within its rate.
 	RefusedWithinRate float64 `json:"refused_within_rate"`
-	ServedShare       float64 `json:"served_share"`
-	FirstTokenP95MS   int64   `json:"first_token_p95_ms"`
-	BetweenP95MS      int64   `json:"between_tokens_p95_ms"`
-	CPUCores          float64 `json:"process_cpu_cores"`
-	PeerBytesPerS     float64 `json:"control_bytes_per_s"`
-	Requests          int     `json:"requests"`
+	// Refusals counts the refused requests by their code.
+	Refusals        map[string]int `json:"refusals,omitempty"`
+	ServedShare     float64        `json:"served_share"`
+	FirstTokenP95MS int64          `json:"first_token_p95_ms"`
+	BetweenP95MS    int64          `json:"between_tokens_p95_ms"`
+	CPUCores        float64        `json:"process_cpu_cores"`
+	PeerBytesPerS   float64        `json:"control_bytes_per_s"`
+	Requests        int            `json:"requests"`
 }
 
 // isAttained reports whether an answer is whole and came in time.
@@ -57,7 +59,7 @@
 }
 
 func (r *run) measure() measures {
-	var m measures
+	m := measures{Refusals: make(map[string]int)}
 	first := hdrhistogram.New(1, 60_000, 3)
 	between := hdrhistogram.New(1, 60_000, 3)
 	total, attained := make(map[int]int), make(map[int]int)
@@ -79,6 +81,7 @@
 		}
 		if a.got.Status == http.StatusTooManyRequests || a.got.Status == http.StatusServiceUnavailable {
 			refused++
+			m.Refusals[a.got.Refusal.Code()]++
 		}
 		for _, gap := range a.got.Gaps {
 			_ = between.RecordValue(max(gap.Milliseconds(), 1))
--- a/cmd/crocushollow-bench/load.go
+++ b/cmd/crocushollow-bench/load.go
@@ -17,8 +17,10 @@
 	minTokens, maxTokens = 20, 60
 	prefixesPerWorkspace = 12
 	prefixLength         = 400
-	// promptTokens is about what a prompt is charged for.
-	promptTokens = prefixLength/4 + 10
+	// generatedTokens is the mean length of an answer, and chargedTokens the
+	// mean charge of a request with its prompt.
+	generatedTokens = (minTokens + maxTokens) / 2
+	chargedTokens   = generatedTokens + prefixLength/4 + 20
 )
 
 // answered is what a caller got for a request to a model.
@@ -43,33 +45,43 @@
 	caller    *caller.Caller
 
 	mu    sync.Mutex
-	known []string
+	known map[string]*addresses
+}
+
+// addresses is an answer of discovery about a model.
+type addresses struct {
+	list  []string
 	until time.Time
 	next  int
 }
 
-// address returns the address for the next request.
-func (d *directory) address() string {
+// address returns the address for the next request to a model.
+func (d *directory) address(model string) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if time.Now().After(d.until) {
-		d.ask()
+	known, found := d.known[model]
+	if !found {
+		known = &addresses{}
+		d.known[model] = known
+	}
+	if time.Now().After(known.until) {
+		d.ask(model, known)
 	}
-	if len(d.known) == 0 {
+	if len(known.list) == 0 {
 		return ""
 	}
-	d.next++
-	return d.known[d.next%len(d.known)]
+	known.next++
+	return known.list[known.next%len(known.list)]
 }
 
-func (d *directory) ask() {
+func (d *directory) ask(model string, known *addresses) {
 	for _, instance := range d.run.site.Instances() {
 		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		answer, err := d.caller.Discover(ctx, instance.Callers, d.workspace, "", "")
+		answer, err := d.caller.Discover(ctx, instance.Callers, d.workspace, model, "")
 		cancel()
 		if err == nil && len(answer.Addresses) > 0 {
-			d.known = answer.Addresses
-			d.until = time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)
+			known.list = answer.Addresses
+			known.until = time.Now().Add(time.Duration(answer.TTLMS) * time.Millisecond)
 			return
 		}
 	}
@@ -81,11 +93,10 @@
 	random := rand.New(rand.NewPCG(uint64(workspace), r.random.Uint64()))
 	id := workspaceID(workspace)
 	c := caller.New(r.secrets[id])
-	d := &directory{run: r, workspace: id, caller: c}
-	const tokens = (minTokens+maxTokens)/2 + promptTokens
-	rate := r.scenario.load * r.capacity * workspaceShares[workspace] / ((minTokens + maxTokens) / 2)
+	d := &directory{run: r, workspace: id, caller: c, known: make(map[string]*addresses)}
+	rate := r.scenario.load * r.capacity * workspaceShares[workspace] / generatedTokens
 	if workspace == 0 && r.scenario.flood > 0 {
-		rate = r.scenario.flood * float64(r.workload.Workspaces[0].TokenRate) / tokens
+		rate = r.scenario.flood * float64(r.workload.Workspaces[0].TokenRate) / chargedTokens
 	}
 	var group sync.WaitGroup
 	for sleep(ctx, time.Duration(random.ExpFloat64()/rate*float64(time.Second))) {
@@ -119,7 +130,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	a := answered{workspace: workspace, at: time.Now(), prompt: prompt}
-	if address := d.address(); address != "" {
+	if address := d.address(prompt.Model); address != "" {
 		a.got, a.err = d.caller.Stream(ctx, address, prompt)
 	}
 	r.mu.Lock()
--- a/cmd/crocushollow-bench/run.go
+++ b/cmd/crocushollow-bench/run.go
@@ -20,11 +20,10 @@
 type listCommand struct{}
 
 // Run names the scenarios.
-func (listCommand) Run() error {
+func (listCommand) Run() {
 	for _, s := range scenarios {
 		fmt.Printf("%-12s %s\n", s.name, s.help)
 	}
-	return nil
 }
 
 type runCommand struct {
--- a/cmd/crocushollow-bench/scenario.go
+++ b/cmd/crocushollow-bench/scenario.go
@@ -136,13 +136,14 @@
 // modelID names a model by its index.
 func modelID(i int) string { return "model-" + string(rune('a'+i/10)) + string(rune('0'+i%10)) }
 
-// workload returns the rows of a site whose engines bear a number of tokens a
-// second. Every workspace's rate leaves room above its part of the load.
+// workload returns the rows of a site whose engines generate a number of tokens
+// a second. Every workspace's rate leaves room above its part of the load, of
+// which the prompts are the larger part.
 func (s siteSize) workload(tokensPerSecond float64) stager.Workload {
 	const rateRoom, burstSeconds = 1.3, 3
 	var workload stager.Workload
 	for i, share := range workspaceShares {
-		rate := int64(share * tokensPerSecond * rateRoom)
+		rate := int64(share * tokensPerSecond * rateRoom * chargedTokens / generatedTokens)
 		workload.Workspaces = append(workload.Workspaces, crocushollow.Workspace{
 			ID: workspaceID(i), TokenRate: rate, TokenBurst: rate * burstSeconds, Weight: 1,
 		})
--- a/coordination/sharer/holder.go
+++ b/coordination/sharer/holder.go
@@ -1,6 +1,7 @@
 package sharer
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocushollow/crocushollow"
@@ -34,6 +35,22 @@
 	// keep is the owner's last word on how many units to hold.
 	keep    int64
 	hasKeep bool
+	// reported is the demand that the owner knows, as of reportedAt.
+	reported   float64
+	reportedAt time.Time
+}
+
+// A demand is reported again after reportAgain, or when it has changed by more
+// than reportChange of itself.
+const (
+	reportAgain  = time.Second
+	reportChange = 0.25
+)
+
+// isNews reports whether the owner should hear of a demand.
+func (n need) isNews(demand float64, now time.Time) bool {
+	change := math.Abs(demand - n.reported)
+	return now.Sub(n.reportedAt) >= reportAgain || change > reportChange*max(n.reported, 1)
 }
 
 // Holder is an instance's side of the exchange. It belongs to the control
@@ -67,27 +84,12 @@
 // Poll returns the exchanges to send now: new ones for shards with something
 // to say and repeated ones that have waited too long.
 func (h *Holder) Poll(state *applier.State, now time.Time) []Envelope {
-	return h.poll(state, h.partsByShard(), now)
+	return h.poll(state, h.partsByShard(func(limiter.ResourceKey) bool { return true }), now)
 }
 
-// PollUrgent is Poll for the shards in which something is wanted right now.
+// PollUrgent is Poll for what is wanted right now.
 func (h *Holder) PollUrgent(state *applier.State, now time.Time) []Envelope {
-	byShard := h.partsByShard()
-	for shard := range crocushollow.Shard(crocushollow.ShardCount) {
-		if !h.isUrgent(byShard[shard]) {
-			delete(byShard, shard)
-		}
-	}
-	return h.poll(state, byShard, now)
-}
-
-func (h *Holder) isUrgent(parts map[limiter.ResourceKey]limiter.Part) bool {
-	for key := range parts {
-		if h.needs[key].shortfall > 0 {
-			return true
-		}
-	}
-	return false
+	return h.poll(state, h.partsByShard(func(key limiter.ResourceKey) bool { return h.needs[key].shortfall > 0 }), now)
 }
 
 func (h *Holder) poll(state *applier.State, byShard map[crocushollow.Shard]map[limiter.ResourceKey]limiter.Part, now time.Time) []Envelope {
@@ -120,9 +122,13 @@
 	return collected
 }
 
-func (h *Holder) partsByShard() map[crocushollow.Shard]map[limiter.ResourceKey]limiter.Part {
+// partsByShard returns the parts that matter, by shard.
+func (h *Holder) partsByShard(matters func(limiter.ResourceKey) bool) map[crocushollow.Shard]map[limiter.ResourceKey]limiter.Part {
 	byShard := make(map[crocushollow.Shard]map[limiter.ResourceKey]limiter.Part)
 	for key, part := range h.parts.Parts {
+		if !matters(key) {
+			continue
+		}
 		shard := key.Shard()
 		if byShard[shard] == nil {
 			byShard[shard] = make(map[limiter.ResourceKey]limiter.Part)
@@ -149,6 +155,10 @@
 		return s.pending
 	}
 	exchange := &ShardExchange{Shard: shard, Term: term, Sequence: s.sequence + 1, Register: !s.registered}
+	if exchange.Register {
+		// Everything held is listed, also by an urgent exchange.
+		parts = h.partsByShard(func(key limiter.ResourceKey) bool { return key.Shard() == shard })[shard]
+	}
 	for key, part := range parts {
 		if report, worth := h.report(key, part, exchange.Register, now); worth {
 			exchange.Parts = append(exchange.Parts, report)
@@ -178,9 +188,13 @@
 	if excess := part.Units() - n.keep; n.hasKeep && excess > 0 && report.Request.Shortfall == 0 {
 		report.Returned = part.Give(excess, now)
 	}
+	urgent := report.Request.Shortfall > 0 || report.Suspected || !report.Returned.IsZero()
+	inUse := part.Units() > 0 || report.Request.Demand > 0
+	worth := urgent || inUse && n.isNews(report.Request.Demand, now)
+	if worth {
+		n.reported, n.reportedAt = report.Request.Demand, now
+	}
 	h.needs[key] = n
-	worth := part.Units() > 0 || report.Request != (limiter.Request{Largest: report.Request.Largest}) ||
-		!report.Returned.IsZero()
 	return report, worth
 }
 
--- a/coordination/sharer/message.go
+++ b/coordination/sharer/message.go
@@ -28,8 +28,8 @@
 
 // Exchange is an instance's message to the owner of one or more shards.
 type Exchange struct {
-	From   crocushollow.Life `json:"from"`
-	Shards []ShardExchange   `json:"shards"`
+	From   crocushollow.Life `cbor:"1,keyasint" json:"from"`
+	Shards []ShardExchange   `cbor:"2,keyasint" json:"shards"`
 }
 
 // Validate checks the message when it is decoded.
@@ -49,30 +49,30 @@
 
 // ShardExchange is the part of an exchange that concerns one shard.
 type ShardExchange struct {
-	Shard crocushollow.Shard `json:"shard"`
+	Shard crocushollow.Shard `cbor:"1,keyasint" json:"shard"`
 	// Term names the owner's claim. An owner refuses other terms.
-	Term uint64 `json:"term"`
+	Term uint64 `cbor:"2,keyasint" json:"term"`
 	// Sequence grows by one with each new exchange of the shard in the term.
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `cbor:"3,keyasint" json:"sequence"`
 	// Register tells that Held lists everything the sender holds.
-	Register bool         `json:"register,omitempty"`
-	Parts    []PartReport `json:"parts,omitempty"`
+	Register bool         `cbor:"4,keyasint,omitempty" json:"register,omitempty"`
+	Parts    []PartReport `cbor:"5,keyasint,omitempty" json:"parts,omitempty"`
 }
 
 // PartReport is what an instance says about its part of one limit.
 type PartReport struct {
-	Key      limiter.ResourceKey `json:"key"`
-	Held     int64               `json:"held,omitempty"`
-	Returned limiter.Grant       `json:"returned,omitzero"`
-	Request  limiter.Request     `json:"request,omitzero"`
+	Key      limiter.ResourceKey `cbor:"1,keyasint" json:"key"`
+	Held     int64               `cbor:"2,keyasint,omitempty" json:"held,omitempty"`
+	Returned limiter.Grant       `cbor:"3,keyasint,omitzero" json:"returned,omitzero"`
+	Request  limiter.Request     `cbor:"4,keyasint,omitzero" json:"request,omitzero"`
 	// Suspected tells that the sender has just inferred a cold start of the
 	// upstream.
-	Suspected bool `json:"suspected,omitempty"`
+	Suspected bool `cbor:"5,keyasint,omitempty" json:"suspected,omitempty"`
 }
 
 // ExchangeReply answers an Exchange.
 type ExchangeReply struct {
-	Shards []ShardReply `json:"shards"`
+	Shards []ShardReply `cbor:"1,keyasint" json:"shards"`
 }
 
 // Validate checks the message when it is decoded.
@@ -89,21 +89,21 @@
 
 // ShardReply answers a ShardExchange.
 type ShardReply struct {
-	Shard    crocushollow.Shard `json:"shard"`
-	Term     uint64             `json:"term"`
-	Sequence uint64             `json:"sequence"`
+	Shard    crocushollow.Shard `cbor:"1,keyasint" json:"shard"`
+	Term     uint64             `cbor:"2,keyasint" json:"term"`
+	Sequence uint64             `cbor:"3,keyasint" json:"sequence"`
 	// Refused tells that the sender of the reply does not own the shard in the
 	// term.
-	Refused bool        `json:"refused,omitempty"`
-	Parts   []PartGrant `json:"parts,omitempty"`
+	Refused bool        `cbor:"4,keyasint,omitempty" json:"refused,omitempty"`
+	Parts   []PartGrant `cbor:"5,keyasint,omitempty" json:"parts,omitempty"`
 }
 
 // PartGrant is the owner's answer about one limit.
 type PartGrant struct {
-	Key     limiter.ResourceKey `json:"key"`
-	Granted limiter.Grant       `json:"granted,omitzero"`
+	Key     limiter.ResourceKey `cbor:"1,keyasint" json:"key"`
+	Granted limiter.Grant       `cbor:"2,keyasint,omitzero" json:"granted,omitzero"`
 	// Keep is the number of units that the instance should not exceed.
-	Keep int64 `json:"keep"`
+	Keep int64 `cbor:"3,keyasint" json:"keep"`
 	// Status is what the owner knows of an upstream, nil for other limits.
-	Status *detector.Status `json:"status,omitempty"`
+	Status *detector.Status `cbor:"4,keyasint,omitempty" json:"status,omitempty"`
 }
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -308,7 +308,10 @@
 	if lease := d.take(l, &routes[best], request); lease != nil {
 		return lease
 	}
-	d.config.Lender.Want(routes[best].key, 1)
+	if r := &routes[best]; now.Sub(r.wantedAt) >= preferInterval {
+		r.wantedAt = now
+		d.config.Lender.Want(r.key, 1)
+	}
 	for i := range candidates {
 		candidates[i].Free = candidates[i].Free && routes[i].flight.Free() > 0
 	}
@@ -375,6 +378,10 @@
 	}
 }
 
+// preferInterval is the least time between two questions for more units of an
+// upstream that requests would prefer but can do without.
+const preferInterval = 100 * time.Millisecond
+
 // Bounds of what is asked for at once.
 const (
 	borrowFrom = 2
--- a/protocol/dispatcher/route.go
+++ b/protocol/dispatcher/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +17,8 @@
 	key      limiter.ResourceKey
 	flight   *limiter.Semaphore
 	hash     uint64
+	// wantedAt is when more units were last asked for out of preference.
+	wantedAt time.Time
 }
 
 // routeCache holds the routes of a model and its adapters in one state.
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -39,14 +39,23 @@
 }
 
 // Outcome returns the outcome that an error answer carries.
-func (r Reply) Outcome() string {
-	var failure struct {
-		Error struct {
-			Outcome string `json:"outcome"`
-		} `json:"error"`
+func (r Reply) Outcome() string { return r.failure().Outcome }
+
+// Code returns the code that an error answer carries.
+func (r Reply) Code() string { return r.failure().Code }
+
+// failure is what matters of an error answer.
+type failure struct {
+	Outcome string `json:"outcome"`
+	Code    string `json:"code"`
+}
+
+func (r Reply) failure() failure {
+	var body struct {
+		Error failure `json:"error"`
 	}
-	_ = json.Unmarshal(r.Body, &failure)
-	return failure.Error.Outcome
+	_ = json.Unmarshal(r.Body, &body)
+	return body.Error
 }
 
 // Send sends a request and reads the whole answer.
--- a/state/detector/detector.go
+++ b/state/detector/detector.go
@@ -24,11 +24,11 @@
 // Status is what is known of an upstream.
 type Status struct {
 	// Incarnation is that of the engine, empty if unknown.
-	Incarnation string `json:"incarnation"`
+	Incarnation string `cbor:"1,keyasint" json:"incarnation"`
 	// Cold tells that the upstream is in cold start.
-	Cold bool `json:"cold"`
+	Cold bool `cbor:"2,keyasint" json:"cold"`
 	// InFlight is the number of requests that the upstream reported.
-	InFlight int64 `json:"in_flight"`
+	InFlight int64 `cbor:"3,keyasint" json:"in_flight"`
 }
 
 type upstream struct {
--- a/state/limiter/bucket.go
+++ b/state/limiter/bucket.go
@@ -186,9 +186,9 @@
 
 // Grant is an amount that moves from one instance's part to another's.
 type Grant struct {
-	Units int64 `json:"units"`
+	Units int64 `cbor:"1,keyasint" json:"units"`
 	// Level is the part of the token bucket's level that moves along.
-	Level float64 `json:"level,omitempty"`
+	Level float64 `cbor:"2,keyasint,omitempty" json:"level,omitempty"`
 }
 
 // IsZero reports whether nothing moves.
--- a/state/limiter/pool.go
+++ b/state/limiter/pool.go
@@ -179,11 +179,11 @@
 // Request is what an instance needs of a limit.
 type Request struct {
 	// Demand is in tokens per second, or in uses at once for a semaphore.
-	Demand float64
+	Demand float64 `cbor:"1,keyasint,omitempty" json:"demand,omitempty"`
 	// Largest is the largest single request in tokens.
-	Largest float64
+	Largest float64 `cbor:"2,keyasint,omitempty" json:"largest,omitempty"`
 	// Shortfall is what is missing right now, in tokens or uses.
-	Shortfall float64
+	Shortfall float64 `cbor:"3,keyasint,omitempty" json:"shortfall,omitempty"`
 }
 
 // Decide grants free units to an instance and returns how many it should keep
--- a/state/limiter/resource.go
+++ b/state/limiter/resource.go
@@ -23,8 +23,8 @@
 
 // ResourceKey identifies a resource by its kind and the row that sets it.
 type ResourceKey struct {
-	Kind Kind   `json:"kind"`
-	ID   string `json:"id"`
+	Kind Kind   `cbor:"1,keyasint" json:"kind"`
+	ID   string `cbor:"2,keyasint" json:"id"`
 }
 
 // Shard returns the shard whose holder keeps the resource's ledger.
--- a/transport/gateway/discovery.go
+++ b/transport/gateway/discovery.go
@@ -44,19 +44,20 @@
 	workspace, model, zone string
 }
 
-// discover returns a subset of the instances that depends on the workspace and
-// the model, so that the callers of a workspace meet few instances and these
-// hold its limits. Every instance answers alike. Instances of the caller's zone
-// come first, those of zones out of service are left out while others exist.
+// discover returns a subset of the instances that depends on the model, or on
+// the workspace if no model is named. So the requests for a model meet few
+// instances, and these hold the units of the upstreams that serve it. Every
+// instance answers alike. Instances of the caller's zone come first, those of
+// zones out of service are left out while others exist.
 func discover(view *controller.View, config DiscoveryConfig, query discoveryQuery) DiscoveryAnswer {
 	members := usableMembers(view)
-	subject := xxhash.Sum64String(query.workspace + "\x00" + query.model)
+	subject := xxhash.Sum64String(query.subject(view.State.Table()))
 	slices.SortFunc(members, func(a, b crocushollow.Member) int {
 		rankA := balancer.Mix(xxhash.Sum64String(a.ID), subject)
 		rankB := balancer.Mix(xxhash.Sum64String(b.ID), subject)
 		return cmp.Or(cmp.Compare(rankB, rankA), cmp.Compare(a.ID, b.ID))
 	})
-	if config.Subset > 0 && query.workspace != "" {
+	if config.Subset > 0 && query.workspace+query.model != "" {
 		members = members[:min(len(members), config.Subset)]
 	}
 	slices.SortStableFunc(members, func(a, b crocushollow.Member) int {
@@ -69,6 +70,18 @@
 	return answer
 }
 
+// subject returns what a subset of the instances is chosen by. An adapter
+// shares the upstreams of its base model.
+func (q discoveryQuery) subject(table *crocushollow.Table) string {
+	if q.model == "" {
+		return q.workspace
+	}
+	if adapter, found := table.Adapter(q.model); found {
+		return adapter.Model
+	}
+	return q.model
+}
+
 func remoteness(member crocushollow.Member, zone string) int {
 	if zone != "" && member.AvailabilityZone == zone {
 		return 0
