Refuse a request that has broken off two upstreams

Cause: a request that crashes the engine that runs it was tried on up to four engines at every send. Change: before a retry, a suspicion against the request is published, so that every instance knows; only the first runner may try once more, and after two crashes nobody may. A request that runs in the end is cleared. Figures: 12 sends over 3 instances crash at most 2 engines (integration spec); before, nothing bounded it below 4 per send.

--- a/integration/fault_test.go
+++ b/integration/fault_test.go
@@ -75,6 +75,24 @@
 		Expect(t.whole).To(BeNumerically(">=", 6))
 	})
 
+	It("loses at most two upstreams to a request that crashes them, however often it is sent", func() {
+		f := startFleet(3)
+		harmful := f.poison("take this: "+poisonText, 4)
+		Expect(harmful).To(BeNumerically(">=", 10))
+		Expect(f.crashes()).To(BeNumerically("<=", 2))
+	})
+
+	It("resumes the other requests on upstreams that a request has crashed", Label("known-red"), func() {
+		f := startFleet(3)
+		finish := f.load(6, 60, func(i int) string { return f.running()[i%3].callers })
+		time.Sleep(500 * time.Millisecond)
+		f.poison("take this: "+poisonText, 1)
+		time.Sleep(2 * time.Second)
+		t := finish()
+		Expect(t.crossed).To(BeEmpty())
+		Expect(t.broken).To(BeEmpty())
+	})
+
 	It("serves on and gives a true answer to calls that must not run twice while the log is away", func() {
 		f := startFleet(3)
 		finish := f.load(4, 20, func(i int) string { return f.running()[i%3].callers })
@@ -123,6 +141,34 @@
 	})
 })
 
+// poison sends a request to every instance a number of times and returns how
+// often it was refused as harmful.
+func (f *fleet) poison(content string, rounds int) int {
+	GinkgoHelper()
+	harmful := 0
+	for range rounds {
+		for _, p := range f.running() {
+			reply, err := caller.New(f.secrets["shoes"]).Complete(context.Background(), p.callers,
+				caller.Prompt{Model: "letters", Content: content, Tokens: 5})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Status).NotTo(Equal(http.StatusOK))
+			if reply.Code() == "request_crashes_upstreams" && reply.Status == http.StatusUnprocessableEntity {
+				harmful++
+			}
+		}
+	}
+	return harmful
+}
+
+// crashes returns how often engines were crashed by a request.
+func (f *fleet) crashes() int {
+	crashes := 0
+	for _, engine := range f.site.Engines {
+		crashes += engine.Server.Observe().Crashes
+	}
+	return crashes
+}
+
 // zoneOf returns an availability zone that serves a model.
 func (f *fleet) zoneOf(model string) string {
 	for _, engine := range f.site.Engines {
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -67,6 +67,9 @@
 	started   int
 }
 
+// poisonText crashes the engines of the suite.
+const poisonText = "poison"
+
 // nextHost gives every process of the suite its own IP number on loopback.
 var nextHost atomic.Int32
 
@@ -74,6 +77,7 @@
 	GinkgoHelper()
 	config := stager.DefaultConfig()
 	config.Engine.TokenTime = 3 * time.Millisecond
+	config.Engine.PoisonText = poisonText
 	site, err := stager.Start(context.Background(), config)
 	Expect(err).NotTo(HaveOccurred())
 	f := &fleet{site: site, dir: logDir(), upstream: make(map[string]*faultproxy.Proxy)}
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -70,6 +71,9 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// ErrSilent reports an upstream that sent nothing for too long.
+var ErrSilent = errors.New("upstream went silent")
+
 // Sender sends attempts. Its errors are *SendError.
 type Sender interface {
 	Send(ctx context.Context, attempt Attempt) (*Response, error)
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -32,6 +32,14 @@
 	usage     *relayer.Usage
 	maybeRun  bool
 	lastError error
+	// fingerprint identifies the request for other instances.
+	fingerprint crocushollow.KeyDigest
+	// crashes counts the attempts that broke off their upstream, and suspicion
+	// is what was published about the first of them.
+	crashes   int
+	suspicion crocushollow.Suspicion
+	// attemptID is that of the current attempt.
+	attemptID crocushollow.ID
 }
 
 // RunModel serves a request to run a model. Any error is a *refuser.Refusal
@@ -64,6 +72,7 @@
 		},
 		writer: newCallerWriter(w, e.config.CallerTimeout),
 	}
+	run.fingerprint = run.fingerprintOf()
 	e.budgets.earn(identity.Workspace.ID)
 	err = run.attempts(ctx)
 	used := run.used(admission)
@@ -121,10 +130,18 @@
 // attempts tries upstreams until one has served the request.
 func (r *modelRun) attempts(ctx context.Context) error {
 	for attempt := 1; ; attempt++ {
+		if err := r.checkSuspect(); err != nil {
+			r.lastError = err
+			return r.giveUp(ctx)
+		}
 		err := r.attempt(ctx)
 		if !errors.Is(err, errRetry) {
 			return err
 		}
+		if r.crashes >= crocushollow.MaxCrashes {
+			r.lastError = errHarmful
+			return r.giveUp(ctx)
+		}
 		if attempt >= r.executor.config.MaxAttempts || !r.executor.budgets.spend(r.identity.Workspace.ID) {
 			return r.giveUp(ctx)
 		}
@@ -202,8 +219,9 @@
 	if r.progress.Events > 0 {
 		r.executor.config.Recorder.Resumed(r.identity.Workspace.ID)
 	}
+	r.attemptID = crocushollow.NewID()
 	response, err := r.executor.config.Sender.Send(ctx, Attempt{
-		ID:         crocushollow.NewID(),
+		ID:         r.attemptID,
 		Upstream:   lease.Upstream,
 		Method:     http.MethodPost,
 		Target:     string(r.call.Endpoint),
@@ -248,6 +266,9 @@
 		r.maybeRun = true
 	}
 	r.lastError = err
+	if isBrokenOff(ctx, err) {
+		r.suspect(ctx, r.attemptID)
+	}
 	r.executor.config.Health.Failed(lease.Upstream.ID)
 	r.executor.config.Logger.Warn().Err(err).Str("upstream", lease.Upstream.ID).
 		Str("workspace", r.identity.Workspace.ID).Str("model", r.call.Model).Msg("attempt failed")
@@ -265,6 +286,7 @@
 	var callerErr *relayer.CallerError
 	switch {
 	case err == nil:
+		r.clear()
 		return nil
 	case errors.As(err, &callerErr):
 		return nil
@@ -290,6 +312,7 @@
 	if usage, found := relayer.FindUsage(body); found {
 		r.usage = &usage
 	}
+	r.clear()
 	r.writer.begin(response.Status, response.Header)
 	_, _ = r.writer.Write(body)
 	return nil
--- a/record.go
+++ b/record.go
@@ -47,6 +47,7 @@
 	Residencies []Residency  `json:"residencies,omitempty"`
 	CallClaims  []CallClaim  `json:"call_claims,omitempty"`
 	CallResults []CallResult `json:"call_results,omitempty"`
+	Suspicions  []Suspicion  `json:"suspicions,omitempty"`
 	Snapshot    *Snapshot    `json:"snapshot,omitempty"`
 }
 
@@ -91,7 +92,7 @@
 // IsEmpty reports whether the record carries no entry.
 func (r Record) IsEmpty() bool {
 	return len(r.Joins)+len(r.Departures)+len(r.Drains)+len(r.Releases)+len(r.Claims)+len(r.Edits)+
-		len(r.Targets)+len(r.Residencies)+len(r.CallClaims)+len(r.CallResults) == 0 && r.Snapshot == nil
+		len(r.Targets)+len(r.Residencies)+len(r.CallClaims)+len(r.CallResults)+len(r.Suspicions) == 0 && r.Snapshot == nil
 }
 
 // With returns the record with the entries of another one appended.
@@ -106,6 +107,7 @@
 	r.Residencies = append(r.Residencies[:len(r.Residencies):len(r.Residencies)], other.Residencies...)
 	r.CallClaims = append(r.CallClaims[:len(r.CallClaims):len(r.CallClaims)], other.CallClaims...)
 	r.CallResults = append(r.CallResults[:len(r.CallResults):len(r.CallResults)], other.CallResults...)
+	r.Suspicions = append(r.Suspicions[:len(r.Suspicions):len(r.Suspicions)], other.Suspicions...)
 	if other.Snapshot != nil {
 		r.Snapshot = other.Snapshot
 	}
--- a/state/applier/apply.go
+++ b/state/applier/apply.go
@@ -48,6 +48,7 @@
 		s.applyCallClaims(record)
 	}
 	s.applyCallResults(record)
+	s.applySuspicions(record)
 	return results
 }
 
@@ -260,6 +261,29 @@
 	}
 }
 
+func (s *State) applySuspicions(record crocushollow.Record) {
+	for _, suspicion := range record.Suspicions {
+		key := string(suspicion.Fingerprint[:])
+		suspect, known := s.suspects.Get(key)
+		if suspicion.Cleared {
+			if known && !suspect.IsHarmful() {
+				s.suspects = s.suspects.Delete(key)
+			}
+			continue
+		}
+		if !known {
+			suspect.First = suspicion
+			s.suspectOrder = s.suspectOrder.Append(key)
+		}
+		suspect.Crashes++
+		s.suspects = s.suspects.Set(key, suspect)
+	}
+	for s.suspectOrder.Len() > maxSuspects {
+		s.suspects = s.suspects.Delete(s.suspectOrder.Get(0))
+		s.suspectOrder = s.suspectOrder.Slice(1, s.suspectOrder.Len())
+	}
+}
+
 // cloneMap returns a copy that can be written to, also of a nil map.
 func cloneMap[K comparable, V any](m map[K]V) map[K]V {
 	if m == nil {
--- a/state/applier/snapshot.go
+++ b/state/applier/snapshot.go
@@ -24,6 +24,7 @@
 	Residencies []crocushollow.Residency `json:"residencies"`
 	Calls       []snapshotCall           `json:"calls"`
 	Records     []crocushollow.ID        `json:"records"`
+	Suspects    []crocushollow.Suspect   `json:"suspects"`
 }
 
 type snapshotRow struct {
@@ -69,6 +70,12 @@
 			data.Calls = append(data.Calls, snapshotCall(call))
 		}
 	}
+	for itr := s.suspectOrder.Iterator(); !itr.Done(); {
+		_, key := itr.Next()
+		if suspect, found := s.suspects.Get(key); found {
+			data.Suspects = append(data.Suspects, suspect)
+		}
+	}
 	for itr := s.recordOrder.Iterator(); !itr.Done(); {
 		_, id := itr.Next()
 		data.Records = append(data.Records, id)
@@ -137,6 +144,11 @@
 		s.calls = s.calls.Set(key, crocushollow.Call(call))
 		s.callOrder = s.callOrder.Append(key)
 	}
+	for _, suspect := range data.Suspects {
+		key := string(suspect.First.Fingerprint[:])
+		s.suspects = s.suspects.Set(key, suspect)
+		s.suspectOrder = s.suspectOrder.Append(key)
+	}
 	for _, id := range data.Records {
 		s.remember(id)
 	}
--- a/state/applier/state.go
+++ b/state/applier/state.go
@@ -21,6 +21,9 @@
 	maxCalls = 100_000
 	// maxDeparted is the number of departed lives that cannot join again.
 	maxDeparted = 20_000
+	// maxSuspects is the number of requests that are remembered for having
+	// broken off upstreams.
+	maxSuspects = 10_000
 	// maxRecords is the number of records that are recognized when they are
 	// appended again. A repeated append follows within seconds.
 	maxRecords = 8192
@@ -51,6 +54,10 @@
 	calls    *immutable.Map[string, crocushollow.Call]
 	// callOrder lists the keys of calls, oldest first.
 	callOrder *immutable.List[string]
+	// suspects holds the requests that have broken off upstreams.
+	suspects *immutable.Map[string, crocushollow.Suspect]
+	// suspectOrder lists the suspects' fingerprints, oldest first.
+	suspectOrder *immutable.List[string]
 	// records holds the IDs of the latest records.
 	records *immutable.Map[string, struct{}]
 	// recordOrder lists the IDs of the latest records, oldest first.
@@ -65,6 +72,8 @@
 		departedOrder: immutable.NewList[string](),
 		calls:         immutable.NewMap[string, crocushollow.Call](nil),
 		callOrder:     immutable.NewList[string](),
+		suspects:      immutable.NewMap[string, crocushollow.Suspect](nil),
+		suspectOrder:  immutable.NewList[string](),
 		records:       immutable.NewMap[string, struct{}](nil),
 		recordOrder:   immutable.NewList[crocushollow.ID](),
 	}
@@ -144,6 +153,11 @@
 // Resident returns the upstreams' residencies that serve the named weights.
 func (s *State) Resident(name string) []crocushollow.Residency { return s.resident[name] }
 
+// Suspect returns what is known against a request.
+func (s *State) Suspect(fingerprint crocushollow.KeyDigest) (crocushollow.Suspect, bool) {
+	return s.suspects.Get(string(fingerprint[:]))
+}
+
 // HasRecord reports whether a record is among the latest that took effect.
 func (s *State) HasRecord(id crocushollow.ID) bool {
 	_, found := s.records.Get(string(id[:]))
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -40,13 +40,8 @@
 	IncarnationHeader = "X-Engine-Incarnation"
 )
 
-// Errors of answers.
-var (
-	// ErrSilent reports an upstream that sent nothing for too long.
-	ErrSilent = errors.New("upstream went silent")
-	// ErrCrossed reports an answer to another attempt.
-	ErrCrossed = errors.New("answer belongs to another attempt")
-)
+// ErrCrossed reports an answer to another attempt.
+var ErrCrossed = errors.New("answer belongs to another attempt")
 
 // Config configures a Forwarder.
 type Config struct {
@@ -113,7 +108,7 @@
 		cancel(nil)
 		return nil, &executor.SendError{Err: err}
 	}
-	watchdog := time.AfterFunc(attempt.Timeout, func() { cancel(ErrSilent) })
+	watchdog := time.AfterFunc(attempt.Timeout, func() { cancel(executor.ErrSilent) })
 	transport := f.kept
 	if !attempt.Repeatable {
 		transport = f.fresh
