Register with a new owner again soon after a refusal

A member that reads a claim before its winner does is refused, and sent its registration again only after 400 ms, during which the owner could grant nothing. Ruled out: the lost level of the token buckets; it refills in 20 ms. Change: a refused exchange goes out again after 25 ms.

--- a/cmd/crocushollow-bench/run.go
+++ b/cmd/crocushollow-bench/run.go
@@ -122,6 +122,7 @@
 	size := sites[c.Site]
 	config.AvailabilityZones, config.Engines, config.Services = size.zones, size.engines, size.services
 	config.Store = size.store
+	config.Store.Rate, config.Store.Burst = setUpLoads, setUpLoads
 	config.Settings.Policy = policies[policy]
 	if policy == "baseline" {
 		config.Settings.Discovery.Subset = 0
@@ -146,6 +147,10 @@
 	return r, nil
 }
 
+// setUpLoads is the number of loads a second that the weight store bears while
+// a site is set up. The site's own rate holds when the load begins.
+const setUpLoads = 200
+
 func (r *run) prepare(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -174,7 +179,12 @@
 		}
 	}
 	r.awaitResident(ctx)
-	return nil
+	store := r.size.store
+	r.site.Store.SetRate(store.Rate, store.Burst)
+	limit := crocushollow.RowRef{Table: crocushollow.LimitTable, ID: crocushollow.WeightStoreLimitID}
+	return stager.SetCells(ctx, r.client, limit,
+		crocushollow.Cell{Column: "rate", Text: fmt.Sprint(store.Rate)},
+		crocushollow.Cell{Column: "burst", Text: fmt.Sprint(store.Burst)})
 }
 
 // awaitResident waits until the number of resident copies has stopped to grow.
--- a/coordination/controller/exchange.go
+++ b/coordination/controller/exchange.go
@@ -98,10 +98,34 @@
 func (e exchangeAnswered) apply(c *Controller) {
 	if e.from == c.self.Life() {
 		c.accept(e.reply, time.Now())
+		if e.reply.HasRefusal() {
+			c.pollAfterRefusal()
+		}
 		c.send(c.holder.PollUrgent(c.state(), time.Now()), time.Now())
 	}
 }
 
+// pollAfterRefusal sends refused exchanges again after a short pause.
+func (c *Controller) pollAfterRefusal() {
+	c.start(c.config.Timing.CallTimeout, func(ctx context.Context) event {
+		timer := time.NewTimer(sharer.RefusedPause)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return pollDue{}
+		case <-ctx.Done():
+			return nil
+		}
+	})
+}
+
+type pollDue struct{}
+
+func (pollDue) apply(c *Controller) {
+	now := time.Now()
+	c.send(c.holder.Poll(c.state(), now), now)
+}
+
 func (c *Controller) accept(reply sharer.ExchangeReply, now time.Time) {
 	decided := c.holder.Accept(reply, now)
 	if len(decided) == 0 {
--- a/coordination/sharer/holder.go
+++ b/coordination/sharer/holder.go
@@ -13,6 +13,9 @@
 // again with the same number.
 const resendAfter = 400 * time.Millisecond
 
+// RefusedPause is the time after which a refused exchange is sent again.
+const RefusedPause = 25 * time.Millisecond
+
 // Envelope is an exchange with the member that it goes to.
 type Envelope struct {
 	To       crocushollow.Member
@@ -204,7 +207,12 @@
 	var decided []limiter.ResourceKey
 	for _, shard := range reply.Shards {
 		s := h.sessions[shard.Shard]
-		if s == nil || s.pending == nil || s.term != shard.Term || s.sequence != shard.Sequence || shard.Refused {
+		if s == nil || s.pending == nil || s.term != shard.Term || s.sequence != shard.Sequence {
+			continue
+		}
+		if shard.Refused {
+			// The new owner has not read its own claim yet.
+			s.sentAt = now.Add(RefusedPause - resendAfter)
 			continue
 		}
 		s.pending = nil
--- a/coordination/sharer/message.go
+++ b/coordination/sharer/message.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/state/detector"
@@ -87,6 +88,11 @@
 	return nil
 }
 
+// HasRefusal reports whether a shard of the exchange was refused.
+func (r ExchangeReply) HasRefusal() bool {
+	return slices.ContainsFunc(r.Shards, func(shard ShardReply) bool { return shard.Refused })
+}
+
 // ShardReply answers a ShardExchange.
 type ShardReply struct {
 	Shard    crocushollow.Shard `cbor:"1,keyasint" json:"shard"`
--- a/standin/storeserver/storeserver.go
+++ b/standin/storeserver/storeserver.go
@@ -37,6 +37,14 @@
 	return &Server{config: config, level: config.Burst, refilled: time.Now()}
 }
 
+// SetRate changes the rate of loads that the store bears.
+func (s *Server) SetRate(rate, burst float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.config.Rate, s.config.Burst = rate, burst
+	s.level = min(s.level, burst)
+}
+
 // Counts returns the loads that were served and those refused for their rate.
 func (s *Server) Counts() (loads, refused int) {
 	s.mu.Lock()
