Evict no copy while the others are still being loaded

Change: a copy gives way only if the model and its adapters on that engine serve elsewhere. The new spec fails without the change.

--- a/state/placer/placer.go
+++ b/state/placer/placer.go
@@ -332,7 +332,7 @@
 		}
 		for _, h := range p.holders[keyOf(victim)] {
 			fits := h.freeBytes+victim.MemoryBytes >= weights.MemoryBytes
-			if h.InService && !h.has(weights) && fits {
+			if h.InService && !h.has(weights) && fits && p.isReachableWithout(h, victim) {
 				bestHost, bestVictim, lowest = h, model, perCopy
 				break
 			}
@@ -344,6 +344,25 @@
 	return bestHost
 }
 
+// isReachableWithout reports whether a model and its adapters on a host also
+// serve elsewhere. A copy that is only planned does not count.
+func (p *plan) isReachableWithout(h *host, model crocushollow.Weights) bool {
+	for _, weights := range h.planned {
+		isLost := keyOf(weights) == keyOf(model) || weights.Base == model.Name
+		if isLost && h.Resident[weights.Label()] && !p.servesElsewhere(h, weights) {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *plan) servesElsewhere(h *host, weights crocushollow.Weights) bool {
+	label := weights.Label()
+	return slices.ContainsFunc(p.holders[keyOf(weights)], func(other *host) bool {
+		return other != h && other.InService && other.Resident[label]
+	})
+}
+
 // evict removes a model and its adapters.
 func (p *plan) evict(h *host, model crocushollow.Model) {
 	p.remove(h, model.Weights())
--- a/state/placer/placer_test.go
+++ b/state/placer/placer_test.go
@@ -126,6 +126,22 @@
 		}
 	})
 
+	It("evicts no copy while the others are still being loaded", func() {
+		in := placer.Input{Demand: placer.Demand{"m0": 100}}
+		in.Hosts = []placer.Host{host(0, 40, 2), host(1, 40, 2)}
+		in.Models = []crocushollow.Model{model(0, 20), model(1, 20)}
+		in.Models[0].MinReplicas, in.Models[1].MinReplicas = 1, 1
+		in = follow(in, placer.Adaptive{}.Plan(in))
+		in.Models = append(in.Models, model(2, 20))
+		for i := range in.Hosts {
+			// Only the first host serves m1 so far.
+			in.Hosts[i].Resident["m1@1"] = i == 0
+		}
+		plan := placer.Adaptive{}.Plan(in)
+		Expect(copies(plan, "m1")).To(ContainElement("u0"))
+		Expect(copies(plan, "m2")).To(HaveLen(1))
+	})
+
 	It("keeps the old version until the new one serves", func() {
 		in := placer.Input{Demand: placer.Demand{}, Models: []crocushollow.Model{model(0, 20)}}
 		in.Hosts = []placer.Host{host(0, 100, 2), host(1, 100, 2)}
