Name the request queues, bound the work of a queue round, drop dead code

Cause: reading the code as a newcomer: 'lineup' needed explaining, a record's With method had no caller, a flag of the log stood with the placement, and a round over a long queue looked at every request for each of them. Change: renamed, removed and moved; a round offers the first 8 requests.

--- a/coordination/controller/controller.go
+++ b/coordination/controller/controller.go
@@ -155,6 +155,8 @@
 	waiters   waiters
 	drain     drainState
 	listed    map[string]ListedInstance
+	// restoring is true while lost entries of the log are appended again.
+	restoring bool
 	// fetching is true while entries are fetched from a peer.
 	fetching bool
 	// accusing holds the members whose departure is being confirmed.
--- a/coordination/controller/log.go
+++ b/coordination/controller/log.go
@@ -145,7 +145,7 @@
 // so, and the others wait for it.
 func (c *Controller) restoreLog(head uint64) {
 	members := c.state().Members()
-	if claimer.Preferred(crocushollow.PlannerShard, members) != c.self.Life() || c.placement.restoring {
+	if claimer.Preferred(crocushollow.PlannerShard, members) != c.self.Life() || c.restoring {
 		return
 	}
 	entries, err := c.replayer.Tail(head)
@@ -154,7 +154,7 @@
 			Msg("the log has lost entries that are no longer kept")
 		return
 	}
-	c.placement.restoring = true
+	c.restoring = true
 	c.config.Logger.Error().Uint64("head", head).Uint64("applied", c.state().Offset()).
 		Msg("the log has lost entries; appending them again")
 	c.start(publishTimeout, func(ctx context.Context) event {
@@ -172,7 +172,7 @@
 }
 
 func (e logRestored) apply(c *Controller) {
-	c.placement.restoring = false
+	c.restoring = false
 	if e.err != nil {
 		c.config.Logger.Warn().Err(e.err).Msg("appending a lost entry again failed")
 	}
--- a/coordination/controller/placement.go
+++ b/coordination/controller/placement.go
@@ -21,8 +21,6 @@
 	hostsOf *applier.State
 	// demand is the latest demand of each member, by instance.
 	demand map[string]demandReport
-	// restoring is true while a lost entry of the log is appended again.
-	restoring bool
 	// planning is true while targets are being published.
 	planning bool
 }
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -75,10 +75,10 @@
 // Lease is the right to send one request to an upstream. It must be released
 // once.
 type Lease struct {
-	Upstream crocushollow.Upstream
-	lineup   *lineup
-	flight   *limiter.Semaphore
-	tokens   float64
+	Upstream     crocushollow.Upstream
+	requestQueue *requestQueue
+	flight       *limiter.Semaphore
+	tokens       float64
 }
 
 // Dispatcher is safe for concurrent use. Done is closed when Run has returned.
@@ -87,12 +87,12 @@
 	wake   chan struct{}
 	done   chan struct{}
 
-	mu      sync.Mutex
-	lineups map[string]*lineup
+	mu     sync.Mutex
+	queues map[string]*requestQueue
 }
 
-// lineup is the queue of one model with what is known of its service.
-type lineup struct {
+// requestQueue is the queue of one model with what is known of its service.
+type requestQueue struct {
 	mu    sync.Mutex
 	queue scheduler.Queue[*Ticket]
 	// inFlight and served describe the demand and the speed of service.
@@ -105,10 +105,10 @@
 // New returns a dispatcher. Run starts it.
 func New(config Config) *Dispatcher {
 	return &Dispatcher{
-		config:  config,
-		wake:    make(chan struct{}, 1),
-		done:    make(chan struct{}),
-		lineups: make(map[string]*lineup),
+		config: config,
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+		queues: make(map[string]*requestQueue),
 	}
 }
 
@@ -145,45 +145,45 @@
 }
 
 func (d *Dispatcher) serveAll(borrow bool) {
-	for _, l := range d.allLineups() {
-		d.serve(l, borrow)
+	for _, q := range d.allQueues() {
+		d.serve(q, borrow)
 	}
 }
 
-func (d *Dispatcher) allLineups() []*lineup {
+func (d *Dispatcher) allQueues() []*requestQueue {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	lineups := make([]*lineup, 0, len(d.lineups))
-	for _, l := range d.lineups {
-		lineups = append(lineups, l)
+	queues := make([]*requestQueue, 0, len(d.queues))
+	for _, q := range d.queues {
+		queues = append(queues, q)
 	}
-	return lineups
+	return queues
 }
 
-func (d *Dispatcher) lineup(queue string) *lineup {
+func (d *Dispatcher) requestQueue(queue string) *requestQueue {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l, found := d.lineups[queue]
+	q, found := d.queues[queue]
 	if !found {
-		l = &lineup{queue: d.config.NewQueue()}
-		d.lineups[queue] = l
+		q = &requestQueue{queue: d.config.NewQueue()}
+		d.queues[queue] = q
 	}
-	return l
+	return q
 }
 
 // serve hands free upstreams to waiting requests, and asks for more of the
 // upstreams if some still wait.
-func (d *Dispatcher) serve(l *lineup, borrow bool) {
+func (d *Dispatcher) serve(q *requestQueue, borrow bool) {
 	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.queue.Len() == 0 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.queue.Len() == 0 {
 		return
 	}
 	served := true
 	for served {
-		served = l.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
-			lease := d.choose(l, &t.request, now)
+		served = q.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
+			lease := d.choose(q, &t.request, now)
 			if lease == nil {
 				return false
 			}
@@ -191,13 +191,13 @@
 			return true
 		})
 	}
-	if l.queue.Len() == 0 {
-		l.served.stop()
+	if q.queue.Len() == 0 {
+		q.served.stop()
 		return
 	}
 	if borrow {
-		l.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
-			d.borrow(l, &t.request, now)
+		q.queue.Next(now, func(_ scheduler.Item, t *Ticket) bool {
+			d.borrow(q, &t.request, now)
 			return false
 		})
 	}
@@ -206,8 +206,8 @@
 // Acquire waits for an upstream. The error is a *refuser.Refusal or the
 // context's cause.
 func (d *Dispatcher) Acquire(ctx context.Context, request Request) (*Lease, error) {
-	l := d.lineup(request.Queue)
-	ticket, lease, err := d.enqueue(l, request)
+	q := d.requestQueue(request.Queue)
+	ticket, lease, err := d.enqueue(q, request)
 	if err != nil || lease != nil {
 		return lease, err
 	}
@@ -217,10 +217,10 @@
 	case lease := <-ticket.lease:
 		return lease, nil
 	case <-ctx.Done():
-		d.abandon(l, ticket)
+		d.abandon(q, ticket)
 		return nil, context.Cause(ctx)
 	case <-timer.C:
-		d.abandon(l, ticket)
+		d.abandon(q, ticket)
 		return nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
 			"no upstream was free in time").WithRetryAfter(time.Second)
 	}
@@ -228,20 +228,20 @@
 
 // enqueue returns a lease at once if an upstream is free and nobody waits, and
 // a ticket otherwise.
-func (d *Dispatcher) enqueue(l *lineup, request Request) (*Ticket, *Lease, error) {
+func (d *Dispatcher) enqueue(q *requestQueue, request Request) (*Ticket, *Lease, error) {
 	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !hasUntried(d.routes(l, &request), request.Tried) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !hasUntried(d.routes(q, &request), request.Tried) {
 		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.NoUpstream,
 			"no upstream is there to serve the request").WithRetryAfter(time.Second)
 	}
-	if l.queue.Len() == 0 {
-		if lease := d.choose(l, &request, now); lease != nil {
+	if q.queue.Len() == 0 {
+		if lease := d.choose(q, &request, now); lease != nil {
 			return nil, lease, nil
 		}
 	}
-	if wait := l.expectedWait(now); wait > d.config.MaxWait[request.Class] {
+	if wait := q.expectedWait(now); wait > d.config.MaxWait[request.Class] {
 		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
 			"the model's queue is too long").WithRetryAfter(wait - d.config.MaxWait[request.Class])
 	}
@@ -253,31 +253,31 @@
 		Tokens:    request.Tokens,
 		Arrived:   now,
 	}
-	if !l.queue.Push(item, ticket) {
+	if !q.queue.Push(item, ticket) {
 		return nil, nil, refuser.New(http.StatusServiceUnavailable, refuser.Overloaded,
-			"the model's queue is full").WithRetryAfter(max(l.expectedWait(now), time.Second))
+			"the model's queue is full").WithRetryAfter(max(q.expectedWait(now), time.Second))
 	}
-	l.served.start(now)
-	d.borrow(l, &request, now)
+	q.served.start(now)
+	d.borrow(q, &request, now)
 	return ticket, nil, nil
 }
 
 // expectedWait returns how long the waiting tokens take at the recent speed, 0
 // if that is not known.
-func (l *lineup) expectedWait(now time.Time) time.Duration {
-	speed := l.served.perSecond(now)
+func (q *requestQueue) expectedWait(now time.Time) time.Duration {
+	speed := q.served.perSecond(now)
 	if speed == 0 {
 		return 0
 	}
-	return time.Duration(l.queue.Tokens() / speed * float64(time.Second))
+	return time.Duration(q.queue.Tokens() / speed * float64(time.Second))
 }
 
 // abandon takes a ticket out of the queue, or releases the lease it has got in
 // the meantime.
-func (d *Dispatcher) abandon(l *lineup, ticket *Ticket) {
-	l.mu.Lock()
-	removed := l.queue.Remove(func(t *Ticket) bool { return t == ticket })
-	l.mu.Unlock()
+func (d *Dispatcher) abandon(q *requestQueue, ticket *Ticket) {
+	q.mu.Lock()
+	removed := q.queue.Remove(func(t *Ticket) bool { return t == ticket })
+	q.mu.Unlock()
 	if !removed {
 		d.Release(<-ticket.lease)
 	}
@@ -286,26 +286,26 @@
 // Release ends a lease.
 func (d *Dispatcher) Release(lease *Lease) {
 	lease.flight.Release()
-	l := lease.lineup
-	l.mu.Lock()
-	l.inFlight--
-	l.served.add(lease.tokens, time.Now())
-	l.mu.Unlock()
+	q := lease.requestQueue
+	q.mu.Lock()
+	q.inFlight--
+	q.served.add(lease.tokens, time.Now())
+	q.mu.Unlock()
 	d.Wake()
 }
 
 // choose returns a lease of the best upstream, or nil if none is free. If the
 // instance holds no free unit of the best one, it asks for more of that for the
 // requests to come and takes the best of the others. The caller holds the
-// lineup's lock.
-func (d *Dispatcher) choose(l *lineup, request *Request, now time.Time) *Lease {
-	routes := d.routes(l, request)
-	candidates := d.candidates(l, routes, request, now)
+// queue's lock.
+func (d *Dispatcher) choose(q *requestQueue, request *Request, now time.Time) *Lease {
+	routes := d.routes(q, request)
+	candidates := d.candidates(q, routes, request, now)
 	best := d.config.Policy.Choose(candidates, request.Prefix)
 	if best < 0 {
 		return nil
 	}
-	if lease := d.take(l, &routes[best], request); lease != nil {
+	if lease := d.take(q, &routes[best], request); lease != nil {
 		return lease
 	}
 	if r := &routes[best]; now.Sub(r.wantedAt) >= preferInterval {
@@ -320,7 +320,7 @@
 		if chosen < 0 {
 			return nil
 		}
-		if lease := d.take(l, &routes[chosen], request); lease != nil {
+		if lease := d.take(q, &routes[chosen], request); lease != nil {
 			return lease
 		}
 		candidates[chosen].Free = false
@@ -328,18 +328,18 @@
 }
 
 // take returns a lease of a route if the instance holds a free unit of it.
-func (d *Dispatcher) take(l *lineup, r *route, request *Request) *Lease {
+func (d *Dispatcher) take(q *requestQueue, r *route, request *Request) *Lease {
 	if !r.flight.Acquire() {
 		return nil
 	}
-	l.inFlight++
-	return &Lease{Upstream: r.upstream, lineup: l, flight: r.flight, tokens: request.Tokens}
+	q.inFlight++
+	return &Lease{Upstream: r.upstream, requestQueue: q, flight: r.flight, tokens: request.Tokens}
 }
 
-// candidates fills the lineup's scratch space with the routes that a request
+// candidates fills the queue's scratch space with the routes that a request
 // may take, whether or not the instance holds units of them.
-func (d *Dispatcher) candidates(l *lineup, routes []route, request *Request, now time.Time) []balancer.Candidate {
-	candidates := l.scratch[:0]
+func (d *Dispatcher) candidates(q *requestQueue, routes []route, request *Request, now time.Time) []balancer.Candidate {
+	candidates := q.scratch[:0]
 	for i := range routes {
 		r := &routes[i]
 		candidates = append(candidates, balancer.Candidate{
@@ -350,7 +350,7 @@
 			Free:  !slices.Contains(request.Tried, r.upstream.ID) && !d.config.Health.IsAvoided(r.upstream.ID, now),
 		})
 	}
-	l.scratch = candidates
+	q.scratch = candidates
 	return candidates
 }
 
@@ -365,16 +365,16 @@
 // borrow asks for units of the upstreams that suit a request best. A few are
 // asked at once, so that one whose limit is used up does not hold the request
 // back.
-func (d *Dispatcher) borrow(l *lineup, request *Request, now time.Time) {
-	routes := d.routes(l, request)
-	candidates := d.candidates(l, routes, request, now)
+func (d *Dispatcher) borrow(q *requestQueue, request *Request, now time.Time) {
+	routes := d.routes(q, request)
+	candidates := d.candidates(q, routes, request, now)
 	for range borrowFrom {
 		chosen := d.config.Policy.Choose(candidates, request.Prefix)
 		if chosen < 0 {
 			return
 		}
 		candidates[chosen].Free = false
-		d.config.Lender.Want(routes[chosen].key, float64(min(l.queue.Len(), maxBorrow)))
+		d.config.Lender.Want(routes[chosen].key, float64(min(q.queue.Len(), maxBorrow)))
 	}
 }
 
@@ -393,12 +393,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	demand := make(placer.Demand)
-	for queue, l := range d.lineups {
-		l.mu.Lock()
-		if requests := l.inFlight + l.queue.Len(); requests > 0 {
+	for queue, q := range d.queues {
+		q.mu.Lock()
+		if requests := q.inFlight + q.queue.Len(); requests > 0 {
 			demand[queue] = float64(requests)
 		}
-		l.mu.Unlock()
+		q.mu.Unlock()
 	}
 	return demand
 }
--- a/protocol/dispatcher/route.go
+++ b/protocol/dispatcher/route.go
@@ -28,16 +28,16 @@
 }
 
 // routes returns the upstreams that take new work of a request's kind. The
-// caller holds the lineup's lock.
-func (d *Dispatcher) routes(l *lineup, request *Request) []route {
+// caller holds the queue's lock.
+func (d *Dispatcher) routes(q *requestQueue, request *Request) []route {
 	state := d.config.State()
-	if l.routes.state != state {
-		l.routes = routeCache{state: state, routes: make(map[string][]route)}
+	if q.routes.state != state {
+		q.routes = routeCache{state: state, routes: make(map[string][]route)}
 	}
-	routes, found := l.routes.routes[request.Weights]
+	routes, found := q.routes.routes[request.Weights]
 	if !found {
 		routes = d.findRoutes(state, request)
-		l.routes.routes[request.Weights] = routes
+		q.routes.routes[request.Weights] = routes
 	}
 	return routes
 }
--- a/record.go
+++ b/record.go
@@ -94,22 +94,3 @@
 	return len(r.Joins)+len(r.Departures)+len(r.Drains)+len(r.Releases)+len(r.Claims)+len(r.Edits)+
 		len(r.Targets)+len(r.Residencies)+len(r.CallClaims)+len(r.CallResults)+len(r.Suspicions) == 0 && r.Snapshot == nil
 }
-
-// With returns the record with the entries of another one appended.
-func (r Record) With(other Record) Record {
-	r.Joins = append(r.Joins[:len(r.Joins):len(r.Joins)], other.Joins...)
-	r.Departures = append(r.Departures[:len(r.Departures):len(r.Departures)], other.Departures...)
-	r.Drains = append(r.Drains[:len(r.Drains):len(r.Drains)], other.Drains...)
-	r.Releases = append(r.Releases[:len(r.Releases):len(r.Releases)], other.Releases...)
-	r.Claims = append(r.Claims[:len(r.Claims):len(r.Claims)], other.Claims...)
-	r.Edits = append(r.Edits[:len(r.Edits):len(r.Edits)], other.Edits...)
-	r.Targets = append(r.Targets[:len(r.Targets):len(r.Targets)], other.Targets...)
-	r.Residencies = append(r.Residencies[:len(r.Residencies):len(r.Residencies)], other.Residencies...)
-	r.CallClaims = append(r.CallClaims[:len(r.CallClaims):len(r.CallClaims)], other.CallClaims...)
-	r.CallResults = append(r.CallResults[:len(r.CallResults):len(r.CallResults)], other.CallResults...)
-	r.Suspicions = append(r.Suspicions[:len(r.Suspicions):len(r.Suspicions)], other.Suspicions...)
-	if other.Snapshot != nil {
-		r.Snapshot = other.Snapshot
-	}
-	return r
-}
--- a/state/scheduler/scheduler.go
+++ b/state/scheduler/scheduler.go
@@ -34,8 +34,9 @@
 type Queue[T any] interface {
 	// Push adds a request and reports false if the queue is full.
 	Push(item Item, value T) bool
-	// Next calls try in the order of service until it returns true for a
-	// request, which is then removed. Next reports whether there was one.
+	// Next calls try for the first few requests in the order of service until
+	// it returns true for one, which is then removed. Next reports whether there
+	// was one.
 	Next(now time.Time, try func(Item, T) bool) bool
 	// Remove takes a request out and reports whether it was waiting.
 	Remove(match func(T) bool) bool
@@ -49,6 +50,10 @@
 // interactive one, so that it is never starved.
 const ageLimit = 20 * time.Second
 
+// maxTried bounds the requests that are offered in one round, so that a long
+// queue costs no more than a short one when no upstream is free.
+const maxTried = 8
+
 type waiting[T any] struct {
 	Item
 	value T
@@ -73,9 +78,8 @@
 	return &Fair[T]{capacity: capacity, finishes: make(map[string]float64)}
 }
 
-// Push implements Queue. When the queue is full, the last request of the
-// workspace with the most of them does not give way; the new one is refused
-// unless its workspace has fewer than its share of the places.
+// Push implements Queue. No workspace gets more than half of the places, so that
+// one that floods the queue leaves room for others.
 func (q *Fair[T]) Push(item Item, value T) bool {
 	if len(q.items) >= q.capacity || q.places(item.Workspace) >= max(q.capacity/2, 1) {
 		return false
@@ -101,7 +105,7 @@
 // Next implements Queue.
 func (q *Fair[T]) Next(now time.Time, try func(Item, T) bool) bool {
 	tried := make(map[int]bool)
-	for len(tried) < len(q.items) {
+	for len(tried) < min(len(q.items), maxTried) {
 		first := q.first(now, tried)
 		if try(q.items[first].Item, q.items[first].value) {
 			q.virtual = max(q.virtual, q.items[first].finish)
