Trace the log append and the wait for a limit's owner

Cause: spans covered the request, its admission and its attempts only. Change: a span for each of the two other hops. The export over OTLP has no test yet.

--- a/protocol/admitter/admitter.go
+++ b/protocol/admitter/admitter.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel"
+
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/refuser"
 	"github.com/crocushollow/crocushollow/state/limiter"
@@ -22,6 +24,9 @@
 	Want(key limiter.ResourceKey, shortfall float64) <-chan struct{}
 }
 
+// tracer makes the spans of waits for a limit's owner.
+var tracer = otel.Tracer("github.com/crocushollow/crocushollow/protocol/admitter")
+
 // Admitter is safe for concurrent use.
 type Admitter struct {
 	parts  *limiter.Registry
@@ -85,6 +90,8 @@
 	if bucket.Take(tokens, now) {
 		return bucket, nil
 	}
+	ctx, span := tracer.Start(ctx, "peer call")
+	defer span.End()
 	for now.Before(deadline) {
 		decided := a.lender.Want(key, bucket.Shortfall(tokens, now))
 		if !wait(ctx, decided, deadline) {
--- a/protocol/executor/once.go
+++ b/protocol/executor/once.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/codes"
+
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/coordination/controller"
 	"github.com/crocushollow/crocushollow/protocol/refuser"
@@ -79,8 +81,14 @@
 }
 
 func (e *Executor) publish(ctx context.Context, record crocushollow.Record) error {
+	ctx, span := tracer.Start(ctx, "log append")
+	defer span.End()
 	record.ID = crocushollow.NewID()
-	return e.config.Publisher.Publish(ctx, record)
+	err := e.config.Publisher.Publish(ctx, record)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
 }
 
 // publishResult keeps the result of a call in the background.
