--- a/standin/plainserver/plainserver.go
+++ b/standin/plainserver/plainserver.go
@@ -19,6 +19,7 @@
 	Body      string
 	// LeakedKey tells that the call carried a caller's credentials.
 	LeakedKey bool
+	Header    http.Header
 }
 
 // Faults are what goes wrong with the service.
@@ -72,6 +73,7 @@
 		Workspace: r.Header.Get("X-Workspace"),
 		Body:      string(body),
 		LeakedKey: r.Header.Get("Authorization") != "",
+		Header:    r.Header.Clone(),
 	}
 	s.mu.Lock()
 	s.executions = append(s.executions, execution)
