Wait for a fresh report before units of a new ledger's limit are granted

Ruled out: the compact messages; removing the shortcut alone mends it. Change: the shortcut is gone; the units are free at the owner's next round. Conclusion: the first request for a limit after a takeover waits up to 50 ms more. An owner that has had no report of an engine at all still takes it for idle.

--- a/coordination/sharer/owner.go
+++ b/coordination/sharer/owner.go
@@ -327,7 +327,6 @@
 	}
 	pool := o.openPool(l, resource, now)
 	l.pools[key] = pool
-	o.freeLost(l, now)
 	return pool
 }
 
