Limit workspaces by token buckets that follow bulletins

Cause: an instance spent only the part of a window's headroom that matched its own demand of the last two seconds. In a fleet of 76 an instance meets a small workspace every few seconds, so its part was nearly nothing; after a restart it got an even part of the rate, too little for one request (known red).

Change: one bucket per workspace whose level each instance estimates from cumulative use in bulletins, taking the others to go on as told in between. Above the limit all requests have the same chance.

--- a/daemon/hosted/bulletins.go
+++ b/daemon/hosted/bulletins.go
@@ -80,7 +80,7 @@
 		return
 	}
 	i.selector.SetPeerLoads(name, bulletin.Loads, now)
-	i.allotter.SetPeerUse(name, bulletin.Uptime(), bulletin.Uses, now)
+	i.allotter.SetPeerUse(name, bulletin.From.Incarnation, bulletin.Uptime(), bulletin.Uses, now)
 	i.demand.setPeer(name, bulletin.Demand)
 	i.suspector.Told(name, bulletin.Crashes, now)
 	i.carrier.Wake()
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -78,6 +78,9 @@
 	leaving   atomic.Bool
 	// changed has one element while the own work on upstreams has changed.
 	changed chan struct{}
+	// limitsVersion is that of the table whose limits the allotter knows. It
+	// belongs to siteChanged, which is called one at a time.
+	limitsVersion int64
 
 	self      gossiper.Peer
 	sites     *siteKeeper
@@ -218,6 +221,7 @@
 		Instances:    instances,
 		IsFirstStart: i.settings.Instance.FirstStart,
 		Started:      i.startedAt,
+		Draw:         rand.Float64,
 	})
 	i.carrier = carrier.New(carrier.Config{
 		Catalog:  i.sites.catalog,
@@ -236,7 +240,7 @@
 		Observer:    i.reporter,
 		Now:         time.Now,
 	})
-	i.sites.changed = i.carrier.Wake
+	i.sites.changed = i.siteChanged
 }
 
 // bootTime returns the time since the machine's start, with the time that it was
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -99,8 +99,8 @@
 			Dur("retry_after", record.Refusal.RetryAfter)
 	}
 	if quota := record.Quota; quota != nil {
-		line.Float64("quota_own", quota.Own.Used).Float64("quota_others", quota.Others.Used).
-			Float64("quota_limit", quota.Limit).Int("quota_instances", quota.Instances)
+		line.Float64("limit_level", quota.Level).Float64("limit_rate", quota.Rate).Float64("limit_demand", quota.Demand).
+			Float64("limit_share", quota.Share).Int("limit_instances", quota.Instances)
 	}
 	if record.Cause != nil {
 		line.AnErr("cause", record.Cause)
--- a/daemon/hosted/site.go
+++ b/daemon/hosted/site.go
@@ -70,6 +70,15 @@
 
 func (k *siteKeeper) catalog() *catalog.Catalog { return k.current.Load().view.Catalog }
 
+// siteChanged takes a new table's limits and looks at waiting calls.
+func (i *Instance) siteChanged() {
+	if table := i.sites.catalog(); table != nil && table.Version() != i.limitsVersion {
+		i.limitsVersion = table.Version()
+		i.allotter.SetLimits(table.Workspaces(), time.Now())
+	}
+	i.carrier.Wake()
+}
+
 // announced returns the site as upstreams have announced it, for the planner,
 // which knows its own orders.
 func (k *siteKeeper) announced() orderer.Site {
--- a/integration/explain_test.go
+++ b/integration/explain_test.go
@@ -70,8 +70,8 @@
 		Expect(ended).To(HaveLen(1))
 		Expect(ended[0]).To(And(
 			HaveKeyWithValue("reason", "rate_limit_exceeded"), HaveKeyWithValue("workspace", platformtest.Workspace),
-			HaveKeyWithValue("table", 5.0), HaveKeyWithValue("quota_limit", 180.0), HaveKeyWithValue("quota_instances", 1.0),
-			HaveKey("quota_own"), HaveKey("quota_others"),
+			HaveKeyWithValue("table", 5.0), HaveKeyWithValue("limit_rate", 22.5), HaveKeyWithValue("limit_instances", 1.0),
+			HaveKey("limit_level"), HaveKey("limit_demand"), HaveKey("limit_share"),
 		))
 	})
 
--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -1,24 +1,27 @@
 // Package allotter keeps workspaces within their fleet-wide limits.
 //
-// The bound is on a sliding window. Every instance knows its own use of the
-// window exactly and that of the others from their bulletins, and spends of the
-// headroom that is left only the part that matches its share of the demand. The
-// parts add up to the headroom, so that instances which decide at the same
-// moment stay within it without asking each other.
+// A limit is a token bucket that all instances share. It fills at the rate that
+// uses up rate and burst in a window, and holds a part of what operators tolerate
+// beyond that, so that no window exceeds the bound. Every instance estimates its
+// level: it knows its own use exactly and that of the others from their
+// bulletins, and takes each of the others to go on as it told until it tells
+// anew. Of the level it spends the part that matches its share of the demand.
+// The parts add up to the level, so that instances which decide at the same
+// moment stay within the limit without asking each other.
 package allotter
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
 )
 
-// Config configures an Allotter.
+// Config configures an Allotter. All fields are required but IsFirstStart.
 type Config struct {
-	// Window is the length of the sliding window.
+	// Window is the length of the sliding window of the operators' bound.
 	Window time.Duration
 	// Slack is what may be used beyond the limit in a window over all
 	// instances, in units.
@@ -29,60 +32,62 @@
 	IsFirstStart bool
 	// Started is when the instance started.
 	Started time.Time
+	// Draw returns a random number from [0, 1).
+	Draw func() float64
 }
 
 // Tuning of the shares.
 const (
-	// buckets is the number of parts that a window is counted in. One more than
-	// fill the window covers the newest one, which is not complete.
-	buckets = 41
-	// recentBuckets and halfBuckets are the numbers of newest buckets with bounds
-	// of their own. These keep a burst from using up the whole window at once,
-	// which would starve its end, and bound the use that a restart forgets.
-	recentBuckets = 10
-	halfBuckets   = 20
-	// slackFraction is the part of the slack that instances may overdraw
-	// together, so that one request fits where the shares are small.
-	slackFraction = 0.3
-	// freeFraction is the part of the headroom that an instance may use whatever
-	// its share, less what the others are likely to use until they are told. An
-	// instance with little demand can then serve a large request.
-	freeFraction = 0.4
-	// overshoot is how much of the limit is granted in a window. The operators
-	// allow 1.1 times the limit.
-	overshoot = 1.0
 	// minShare is the least share of an instance relative to an even one.
 	minShare = 0.5
+	// overshoot is the part of the limit that the operators allow beyond it.
+	overshoot = 0.1
+	// capacityFraction is the part of what is allowed beyond the limit that the
+	// bucket holds, and reserveFraction the part that instances may use together
+	// while demand is below the rate. The rest covers bulletins that come late.
+	capacityFraction = 0.3
+	reserveFraction  = 0.2
+	// loneFraction is the part of the level and the reserve that a single
+	// request may take between two bulletins. An instance with little demand can
+	// then serve a large request.
+	loneFraction = 0.5
+	// sparseDemand is the demand in a second, as a part of what is allowed beyond
+	// the limit in a window, up to which a sudden rise does no harm.
+	sparseDemand = 0.9
+	// guardTime is the time in seconds for which an instance may use its part
+	// ahead while demand is above the rate.
+	guardTime = 0.4
+	// unusedMemory is the part of a window after which little of what the full
+	// bucket has lost counts any more.
+	unusedMemory = 1.0 / 3
+	// evenFactor is how many times an even part of the level and the reserve an
+	// instance may use between two bulletins.
+	evenFactor = 1.5
+	// settleTime is the time in seconds in which a level that is not 0 is used up,
+	// longer than the time after which bulletins have come.
+	settleTime = 2.0
+	// silentUse is how long an instance that is silent counts. It may be cut off
+	// rather than gone, and goes on using its share.
+	silentUse = 20 * time.Second
+	// silentAfter is the time without a bulletin after which an instance may be
+	// cut off, three periods of bulletins between zones.
+	silentAfter = 1500 * time.Millisecond
 )
 
-// Use is what an instance has used of a workspace's limit.
+// Use is what an instance tells of its use of a workspace's limit.
 type Use struct {
-	// Used is the use in the window, in units, Half that in its newer half and
-	// Recent that in its newest quarter. Asked is the demand in that quarter.
-	Used   float64 `cbor:"1,keyasint"`
-	Asked  float64 `cbor:"2,keyasint"`
-	Recent float64 `cbor:"3,keyasint"`
-	Half   float64 `cbor:"4,keyasint"`
+	// Spent is the use since the instance's start, in units.
+	Spent float64 `cbor:"1,keyasint"`
+	// Asked is the demand in units per second.
+	Asked float64 `cbor:"2,keyasint"`
+	// Level is the estimated level of the bucket in units.
+	Level float64 `cbor:"3,keyasint"`
 }
 
-// account is the instance's own use of one workspace's limit.
-type account struct {
-	used  [buckets]float64
-	asked [buckets]float64
-	// newest is the number of the newest bucket since the start.
-	newest int64
-	// told is the demand that the other instances were told last. Shares are
-	// computed from it, so that they add up at all instances while demand grows.
-	told float64
-	// spent is the use since the others were told last.
-	spent float64
-}
-
-// peerUse is what another instance has told.
-type peerUse struct {
-	at     time.Time
-	uptime time.Duration
-	uses   map[string]Use
+// peer is another instance.
+type peer struct {
+	incarnation crocushollow.Incarnation
+	heardAt     time.Time
 }
 
 // Allotter is safe for concurrent use.
@@ -91,19 +96,12 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	peers    map[string]peerUse
-	// earlier holds the last use of instances that have started again.
-	earlier map[string][]peerUse
+	peers    map[string]peer
 }
 
 // New returns an allotter.
 func New(config Config) *Allotter {
-	return &Allotter{
-		config:   config,
-		accounts: make(map[string]*account),
-		peers:    make(map[string]peerUse),
-		earlier:  make(map[string][]peerUse),
-	}
+	return &Allotter{config: config, accounts: make(map[string]*account), peers: make(map[string]peer)}
 }
 
 // Take charges a workspace and reports whether its limit leaves room. If not, it
@@ -114,38 +112,106 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	own, slot := a.at(workspace.Name, now)
-	own.asked[slot] += cost
-	others := a.others(workspace, own, now)
-	used := own.use()
-	headroom := a.headroom(workspace, used, others)
-	instances := float64(max(a.config.Instances(), 1))
-	share := minShare / instances
-	if total := own.told + others.Asked; total > 0 {
-		share = max(share, own.told/total)
+	own := a.account(workspace.Name, now)
+	a.limit(own, workspace)
+	own.asked[own.newest%askedBuckets] += cost
+	if a.hasRoom(own, cost) || a.wins(own, cost) {
+		own.spend(cost)
+		return true, 0
+	}
+	return false, waitFor(cost-a.credit(own), own.rate*a.share(own))
+}
+
+// hasRoom reports whether the instance may use the cost whatever the others do.
+func (a *Allotter) hasRoom(own *account, cost float64) bool {
+	if cost <= a.credit(own) {
+		return true
+	}
+	if own.demand() > own.rate {
+		return false
+	}
+	free := own.level + own.untold + own.unused + a.reserve(own)
+	if own.untold == 0 && cost <= loneFraction*free {
+		return true
+	}
+	return own.untold+cost <= evenFactor*free/a.instances()
+}
+
+// wins draws whether a request is served that costs more than the instance's
+// part. On average just the part is used, also where it is smaller than any
+// request.
+func (a *Allotter) wins(own *account, cost float64) bool {
+	if own.demand() > own.rate {
+		// All requests have the same chance, also where an instance has too few of
+		// them for its share. A sudden rise of the demand meets the guard.
+		return own.untold <= a.guard(own) && a.config.Draw()*own.demand() < own.rate+own.level/settleTime
+	}
+	credit := a.credit(own)
+	if credit <= 0 {
+		return false
+	}
+	if a.config.Draw()*cost < credit {
+		return true
 	}
+	own.burned += credit
+	return false
+}
+
+// guard returns what the instance may use until the others are told anew while
+// demand is above the rate.
+func (a *Allotter) guard(own *account) float64 {
+	if own.demand() < sparseDemand*a.allowedBeyond(own.rate) {
+		return math.Inf(1)
+	}
+	return a.share(own) * max(own.level+own.untold+own.rate*guardTime, 0)
+}
+
+// credit returns the part of the level that the instance may use now.
+func (a *Allotter) credit(own *account) float64 {
+	return a.share(own)*(own.level+own.untold) - own.untold - own.burned
+}
+
+// share returns the instance's part of the limit.
+func (a *Allotter) share(own *account) float64 {
+	least := minShare
 	if len(a.peers) == 0 {
-		share = max(share, 1/instances)
+		least = 1
 	}
-	// The others do not know yet what was spent since the last bulletin.
-	part := (headroom+own.spent)*share + slackFraction*a.config.Slack/instances
-	part = max(part, freeFraction*(headroom+own.spent)-others.Asked/2)
-	part = min(part, own.spent+a.restartPart(workspace, instances, now)-used.Used)
-	if own.spent+cost > part {
-		return false, a.waitFor(own.spent+cost-part, workspace.Rate*share)
+	share := least / a.instances()
+	if total := own.demand(); total > 0 {
+		share = max(share, own.told/total)
+	}
+	return share
+}
+
+// reserve returns what instances may use together beyond the limit. An instance
+// that does not know what was used before its start leaves half of it.
+func (a *Allotter) reserve(own *account) float64 {
+	allowed := a.allowedBeyond(own.rate)
+	if !a.config.IsFirstStart && !own.isAdopted && own.at.Sub(a.config.Started) < a.config.Window {
+		allowed /= 2
 	}
-	own.used[slot] += cost
-	own.spent += cost
-	return true, 0
+	return reserveFraction * allowed
 }
 
+// allowedBeyond returns what may be used in a window beyond the limit.
+func (a *Allotter) allowedBeyond(rate float64) float64 {
+	return overshoot*rate*a.config.Window.Seconds() + a.config.Slack
+}
+
+func (a *Allotter) instances() float64 { return float64(max(a.config.Instances(), 1)) }
+
 // State is what decides about a workspace's requests.
 type State struct {
-	// Own and Others are the use and the demand here and at all other instances.
-	Own    Use
-	Others Use
-	// Limit is what all together may use in the window.
-	Limit float64
+	// Level is the estimated level of the bucket in units, negative after more
+	// was used than the limit allows.
+	Level float64
+	// Rate is the rate and the burst spread over a window, and Demand that of all
+	// instances, both in units per second.
+	Rate   float64
+	Demand float64
+	// Share is the instance's part of the limit.
+	Share float64
 	// Instances is the number of instances that share it.
 	Instances int
 }
@@ -154,126 +220,108 @@
 func (a *Allotter) State(workspace *catalog.Workspace, now time.Time) State {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	own, _ := a.at(workspace.Name, now)
+	own := a.account(workspace.Name, now)
 	return State{
-		Own: own.use(), Others: a.others(workspace, own, now), Instances: a.config.Instances(),
-		Limit: overshoot * (workspace.Rate*a.config.Window.Seconds() + workspace.Burst),
+		Level: own.level, Rate: own.rate, Demand: own.demand(), Share: a.share(own), Instances: a.config.Instances(),
 	}
 }
 
-// headroom returns what all instances together may still use.
-func (a *Allotter) headroom(workspace *catalog.Workspace, own, others Use) float64 {
-	inWindow := workspace.Rate * a.config.Window.Seconds()
-	return min(
-		overshoot*(inWindow+workspace.Burst)-own.Used-others.Used,
-		inWindow*halfBuckets/(buckets-1)+workspace.Burst-own.Half-others.Half,
-		inWindow*recentBuckets/(buckets-1)+workspace.Burst-own.Recent-others.Recent,
-	)
-}
-
 // Bounds of the time that a refused request is told to wait.
 const (
 	minWait = 200 * time.Millisecond
 	maxWait = 4 * time.Second
 )
 
-func (a *Allotter) waitFor(missing, rate float64) time.Duration {
-	return min(max(time.Duration(missing/rate*float64(time.Second)), minWait), maxWait)
+func waitFor(missing, rate float64) time.Duration {
+	return min(max(time.Duration(min(missing/rate, maxWait.Seconds())*float64(time.Second)), minWait), maxWait)
 }
 
 // Refund returns what a request was charged that has not run.
 func (a *Allotter) Refund(workspace *catalog.Workspace, cost float64, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	own, slot := a.at(workspace.Name, now)
-	own.used[slot] -= cost
-	own.spent = max(own.spent-cost, 0)
+	a.account(workspace.Name, now).spend(-cost)
 }
 
-// SetPeerUse replaces what another instance has told.
-func (a *Allotter) SetPeerUse(instance string, uptime time.Duration, uses map[string]Use, now time.Time) {
+// SetPeerUse replaces what another instance has told. The incarnation tells its
+// lives apart, and uptime is the time since its start.
+func (a *Allotter) SetPeerUse(instance string, incarnation crocushollow.Incarnation, uptime time.Duration, uses map[string]Use, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if known, found := a.peers[instance]; found && uptime < known.uptime {
-		// What it used before its restart is still in the window.
-		a.earlier[instance] = append(a.earlier[instance], peerUse{at: now, uses: known.uses})
+	known, isKnown := a.peers[instance]
+	isSameLife := isKnown && known.incarnation == incarnation
+	wasSilent := isKnown && now.Sub(known.heardAt) > silentAfter
+	a.peers[instance] = peer{incarnation: incarnation, heardAt: now}
+	for name, use := range uses {
+		own := a.account(name, now)
+		before := own.level
+		own.setPeer(instance, use, isKnown || a.isNewHere(uptime, now), isSameLife)
+		if wasSilent {
+			// Much of what it used is older than the window. It knows the level.
+			own.level = max(own.level, min(before, use.Level))
+		}
+		if uptime > a.config.Window && a.mayAdopt(own, now) {
+			own.level, own.isAdopted = use.Level, true
+		}
+	}
+	for name, own := range a.accounts {
+		if _, told := uses[name]; !told && own.peers[instance] != nil {
+			own.setPeer(instance, Use{}, isKnown, isSameLife)
+		}
 	}
-	a.peers[instance] = peerUse{at: now, uptime: uptime, uses: uses}
 }
 
-// Uses returns the instance's own use by workspace.
+// isNewHere reports whether all that a peer has used since its start is new to
+// the instance, which has not heard of it before.
+func (a *Allotter) isNewHere(uptime time.Duration, now time.Time) bool {
+	age := now.Sub(a.config.Started)
+	return uptime < a.config.Window && uptime <= age+time.Second && (age < a.config.Window || uptime < silentAfter)
+}
+
+// mayAdopt reports whether an instance takes over the level from an older one,
+// since it does not know what was used before its own start.
+func (a *Allotter) mayAdopt(own *account, now time.Time) bool {
+	return own.rate > 0 && !a.config.IsFirstStart && !own.isAdopted && now.Sub(a.config.Started) < a.config.Window
+}
+
+// Uses returns what the others are told about each workspace.
 func (a *Allotter) Uses(now time.Time) map[string]Use {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.forgetSilent(now)
 	uses := make(map[string]Use, len(a.accounts))
 	for name := range a.accounts {
-		own, _ := a.at(name, now)
-		use := own.use()
-		own.told, own.spent = use.Asked, 0
-		if use != (Use{}) {
-			uses[name] = use
+		own := a.account(name, now)
+		own.told, own.untold, own.burned = own.askedRate(), 0, 0
+		if own.spent != 0 || own.told != 0 {
+			uses[name] = Use{Spent: own.spent, Asked: own.told, Level: own.level}
 		}
 	}
 	return uses
 }
 
-// untoldFraction bounds the use since the last bulletin of an instance relative to
-// that of a quarter of the window: bulletins to other zones come twice a second.
-const untoldFraction = 1.0
-
-// silentUse is how long the last use of an instance counts that is silent. It
-// may be cut off rather than gone, and goes on using its share.
-const silentUse = 20 * time.Second
-
-// silentAfter is the time without a bulletin after which an instance may be cut
-// off, three periods of bulletins between zones.
-const silentAfter = 1500 * time.Millisecond
-
-// others returns the use and the demand of all other instances. One that may be
-// cut off is taken to have the own demand and use, so that the parts on both
-// sides add up.
-func (a *Allotter) others(workspace *catalog.Workspace, own *account, now time.Time) Use {
-	// A side that is cut off is taken to use what this one does, but no more than
-	// its even part.
-	even := (workspace.Rate*a.config.Window.Seconds() + workspace.Burst) / float64(max(a.config.Instances(), 1))
-	assumed := min(own.use().Used, even)
-	var total Use
-	for instance, peer := range a.peers {
-		if now.Sub(peer.at) > silentUse {
-			delete(a.peers, instance)
-			continue
-		}
-		use := peer.uses[workspace.Name]
-		if now.Sub(peer.at) > silentAfter {
-			use.Asked = max(use.Asked, own.told)
-			use.Used = max(use.Used, assumed)
-		}
-		total.Used += use.Used
-		total.Asked += use.Asked
-		total.Recent += use.Recent
-		total.Half += use.Half
-	}
-	for instance, lives := range a.earlier {
-		lives = slices.DeleteFunc(lives, func(life peerUse) bool { return now.Sub(life.at) > a.config.Window })
-		if len(lives) == 0 {
-			delete(a.earlier, instance)
+// forgetSilent takes instances that may be cut off to have the own demand and
+// use, so that the parts on both sides add up, and forgets them in the end.
+func (a *Allotter) forgetSilent(now time.Time) {
+	for instance, p := range a.peers {
+		silence := now.Sub(p.heardAt)
+		if silence <= silentAfter {
 			continue
 		}
-		a.earlier[instance] = lives
-		for _, life := range lives {
-			use := life.uses[workspace.Name]
-			// What it used after its last bulletin was never told.
-			total.Used += use.Used + untoldFraction*use.Recent
-			if now.Sub(life.at) < a.config.Window/2 {
-				total.Half += use.Half
-			}
-			if now.Sub(life.at) < a.config.Window/4 {
-				total.Recent += use.Recent
-				total.Asked += use.Asked
+		for name := range a.accounts {
+			own := a.account(name, now)
+			known := own.peers[instance]
+			switch {
+			case silence > silentUse:
+				own.dropPeer(instance)
+			case known != nil:
+				own.mirror(known)
 			}
 		}
+		if silence > silentUse {
+			delete(a.peers, instance)
+		}
 	}
-	return total
 }
 
 // ForgetPeer drops what an instance has told that has stopped for good.
@@ -281,48 +329,46 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.peers, instance)
-}
-
-// restartPart returns what a restarted instance may use in its first window. Its
-// use before the start is not known to it, so that it gets an even part of the
-// rate, no burst and no slack.
-func (a *Allotter) restartPart(workspace *catalog.Workspace, instances float64, now time.Time) float64 {
-	age := now.Sub(a.config.Started)
-	if a.config.IsFirstStart || age > a.config.Window {
-		return math.Inf(1)
+	for _, own := range a.accounts {
+		own.dropPeer(instance)
 	}
-	return workspace.Rate * age.Seconds() / instances
 }
 
-// at returns a workspace's account, brought up to date, and its newest bucket.
-func (a *Allotter) at(workspace string, now time.Time) (*account, int) {
+// account returns a workspace's account, brought up to date.
+func (a *Allotter) account(workspace string, now time.Time) *account {
+	age := now.Sub(a.config.Started)
 	own := a.accounts[workspace]
 	if own == nil {
-		own = &account{}
+		own = &account{at: now, newest: int64(age / askedPeriod), peers: make(map[string]*peerUse)}
 		a.accounts[workspace] = own
 	}
-	number := int64(now.Sub(a.config.Started) / (a.config.Window / (buckets - 1)))
-	for steps := min(number-own.newest, buckets); steps > 0; steps-- {
-		slot := (number - steps + 1) % buckets
-		own.used[slot], own.asked[slot] = 0, 0
-	}
-	own.newest = max(number, own.newest)
-	return own, int(own.newest % buckets)
+	own.advance(now, int64(age/askedPeriod), unusedMemory*a.config.Window.Seconds())
+	return own
 }
 
-// use returns the use and the demand in the window.
-func (a *account) use() Use {
-	var use Use
-	for _, used := range a.used {
-		use.Used += used
+// SetLimits takes the limits of a table into account from now on, so that the
+// others' use of them is followed before the instance's own first request.
+func (a *Allotter) SetLimits(workspaces map[string]*catalog.Workspace, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, workspace := range workspaces {
+		if workspace.Rate > 0 {
+			a.limit(a.account(name, now), workspace)
+		}
 	}
-	for i := range min(a.newest+1, halfBuckets) {
-		slot := (a.newest - i) % buckets
-		use.Half += a.used[slot]
-		if i < recentBuckets {
-			use.Asked += a.asked[slot]
-			use.Recent += a.used[slot]
+}
+
+// limit brings an account's limit up to date. What was used before the start is
+// not known, so that the bucket begins empty there.
+func (a *Allotter) limit(own *account, workspace *catalog.Workspace) {
+	isNew := own.rate == 0
+	own.rate = workspace.Rate + workspace.Burst/a.config.Window.Seconds()
+	own.capacity = capacityFraction * a.allowedBeyond(own.rate)
+	if isNew {
+		own.level = own.capacity
+		if !a.config.IsFirstStart {
+			own.level = own.rate * own.at.Sub(a.config.Started).Seconds()
 		}
 	}
-	return use
+	own.level = min(own.level, own.capacity)
 }
--- a/state/allotter/allotter_test.go
+++ b/state/allotter/allotter_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/state/allotter"
 )
@@ -38,7 +39,10 @@
 	first     bool
 	instances []*allotter.Allotter
 	started   []time.Time
+	lives     []crocushollow.Incarnation
 	granted   []grant
+	// seed is the state of the random numbers.
+	seed uint64
 	// isCut tells the instances of two sides that do not hear each other.
 	isCut func(instance int) bool
 }
@@ -52,6 +56,7 @@
 	f := &fleet{now: time.Unix(1000, 0), first: true}
 	f.instances = make([]*allotter.Allotter, size)
 	f.started = make([]time.Time, size)
+	f.lives = make([]crocushollow.Incarnation, size)
 	for i := range size {
 		f.start(i)
 	}
@@ -59,12 +64,20 @@
 	return f
 }
 
+// draw returns a repeatable random number from [0, 1).
+func (f *fleet) draw() float64 {
+	f.seed = f.seed*6364136223846793005 + 1442695040888963407
+	return float64(f.seed>>11) / float64(1<<53)
+}
+
 func (f *fleet) start(i int) {
 	f.started[i] = f.now
 	f.instances[i] = allotter.New(allotter.Config{
 		Window: window, Slack: slack, IsFirstStart: f.first, Started: f.now,
-		Instances: func() int { return len(f.instances) },
+		Instances: func() int { return len(f.instances) }, Draw: f.draw,
 	})
+	f.instances[i].SetLimits(map[string]*catalog.Workspace{workspace.Name: workspace}, f.now)
+	f.lives[i]++
 }
 
 // tell lets every instance hear of every other's use.
@@ -73,7 +86,7 @@
 		uses := from.Uses(f.now)
 		for j, to := range f.instances {
 			if i != j && (f.isCut == nil || f.isCut(i) == f.isCut(j)) {
-				to.SetPeerUse(fmt.Sprint(i), f.now.Sub(f.started[i]), uses, f.now)
+				to.SetPeerUse(fmt.Sprint(i), f.lives[i], f.now.Sub(f.started[i]), uses, f.now)
 			}
 		}
 	}
@@ -132,6 +145,14 @@
 	return (workspace.Rate*window.Seconds()+workspace.Burst)*overshoot + slack
 }
 
+// useSmallWorkspace gives the workspace the least limit of the operators' sites
+// until the end of the spec.
+func useSmallWorkspace() {
+	usual := *workspace
+	DeferCleanup(func() { *workspace = usual })
+	workspace.Rate, workspace.Burst = 4200, 4200
+}
+
 var _ = Describe("Allotter", func() {
 	It("refuses nothing of a demand within the limit that is spread unevenly", func() {
 		f := newFleet(8)
@@ -181,7 +202,28 @@
 		Expect(f.most()).To(BeNumerically("<=", bound()))
 	})
 
-	It("refuses nothing of the usual demand after all instances were killed", Label("known-red"), func() {
+	It("refuses nothing of the usual demand while an instance starts again that gets no request", func() {
+		f := newFleet(4)
+		f.ask(10*time.Second, 0.5*workspace.Rate)
+		f.start(3)
+		granted, asked := f.ask(5*time.Second, 0.5*workspace.Rate, 0.4, 0.4, 0.2, 0)
+		Expect(granted).To(Equal(asked))
+	})
+
+	It("refuses nothing of the usual demand after instances were cut off during a surge", func() {
+		f := newFleet(8)
+		f.ask(time.Second, 0.5*workspace.Rate)
+		f.isCut = func(i int) bool { return i < 2 }
+		f.ask(11*time.Second, 4*workspace.Rate)
+		f.isCut = nil
+		f.ask(3*time.Second, 4*workspace.Rate)
+		f.ask(3*time.Second, 0.5*workspace.Rate)
+		granted, asked := f.ask(5*time.Second, 0.5*workspace.Rate)
+		Expect(granted).To(Equal(asked))
+		Expect(f.most()).To(BeNumerically("<=", bound()))
+	})
+
+	It("refuses nothing of the usual demand after all instances were killed", func() {
 		f := newFleet(8)
 		f.ask(10*time.Second, 0.4*workspace.Rate)
 		f.now = f.now.Add(2 * time.Second)
@@ -192,6 +234,44 @@
 		Expect(granted).To(Equal(asked))
 	})
 
+	It("refuses nothing of the usual demand of a small workspace in a large fleet", func() {
+		useSmallWorkspace()
+		f := newFleet(76)
+		granted, asked := f.ask(20*time.Second, 0.5*workspace.Rate)
+		Expect(granted).To(Equal(asked))
+	})
+
+	It("grants most of the limit to a small workspace that sends four times its limit in a large fleet", func() {
+		useSmallWorkspace()
+		f := newFleet(76)
+		f.ask(10*time.Second, 4*workspace.Rate)
+		granted, _ := f.ask(40*time.Second, 4*workspace.Rate)
+		Expect(granted).To(BeNumerically(">=", 0.8*workspace.Rate*40))
+		Expect(f.most()).To(BeNumerically("<=", bound()))
+	})
+
+	It("refuses nothing of the usual demand after a large fleet was killed", func() {
+		f := newFleet(76)
+		f.ask(10*time.Second, 0.55*workspace.Rate)
+		f.now = f.now.Add(2 * time.Second)
+		for i := range f.instances {
+			f.start(i)
+		}
+		granted, asked := f.ask(8*time.Second, 0.55*workspace.Rate)
+		Expect(granted).To(Equal(asked))
+	})
+
+	It("stays within the bound when half of the instances start again during a burst", func() {
+		f := newFleet(8)
+		f.ask(8*time.Second, 0.9*workspace.Rate)
+		f.ask(time.Second, 4*workspace.Rate)
+		for i := range 4 {
+			f.start(i)
+		}
+		f.ask(8*time.Second, 4*workspace.Rate)
+		Expect(f.most()).To(BeNumerically("<=", bound()))
+	})
+
 	It("cuts a workspace whose limit is lowered far below its demand", func() {
 		f := newFleet(8)
 		f.ask(10*time.Second, 0.5*workspace.Rate)
@@ -207,8 +287,10 @@
 	It("tells a refused request when to come back", func() {
 		f := newFleet(1)
 		f.ask(5*time.Second, 4*workspace.Rate)
-		taken, wait := f.instances[0].Take(workspace, cost, f.now)
-		Expect(taken).To(BeFalse())
+		taken, wait := true, time.Duration(0)
+		for taken {
+			taken, wait = f.instances[0].Take(workspace, cost, f.now)
+		}
 		Expect(wait).To(BeNumerically(">", 0))
 	})
 
