Batch placements, shrink bulletins and give duties to strong instances

Cause: after the planning duty moved, the planner of a fleet of 76 gave 213 orders within some seconds and told 75 instances of each in a message of its own: 3 MB over a link of 10 Mbit/s. Adapters that were being unloaded stayed in what was told.

Change: placements are gathered for 25 ms; a leaving adapter is not told; repeats are bounded; domain types have numbers as keys; demand goes only to the holder of the duty; the registry is read each 30 s; failing feeds are asked after a growing pause; instances with more of a core come first for duties; in large fleets the own zone's engines are preferred, since other zones' work is known a second late.

--- a/cmd/crocushollow-bench/main.go
+++ b/cmd/crocushollow-bench/main.go
@@ -14,6 +14,8 @@
 	Run   runCommand   `cmd:"" help:"Run a scenario and print its measures as JSON."`
 	Scale scaleCommand `cmd:"" help:"Measure the control state of growing fleets without traffic."`
 
+	Soak soakCommand `cmd:"" help:"Run instances as processes, inject faults and check what callers and upstreams see."`
+
 	Overhead overheadCommand `cmd:"" help:"Measure what an instance adds to a call."`
 }
 
--- a/coordination/gossiper/bulletin.go
+++ b/coordination/gossiper/bulletin.go
@@ -20,6 +20,17 @@
 	Address          string `cbor:"3,keyasint" json:"address"`
 	CallerAddress    string `cbor:"4,keyasint,omitempty" json:"caller_address"`
 	AvailabilityZone string `cbor:"5,keyasint,omitempty" json:"availability_zone"`
+	// Capacity is the part of a core that the instance may use. Instances with
+	// more come first for duties.
+	Capacity float64 `cbor:"6,keyasint,omitempty" json:"capacity,omitempty"`
+}
+
+// comesBefore reports whether the peer comes before another one for duties.
+func (p Peer) comesBefore(other Peer) bool {
+	if p.Capacity != other.Capacity {
+		return p.Capacity > other.Capacity
+	}
+	return p.Instance < other.Instance
 }
 
 // Validate implements encoder.Validator.
--- a/coordination/gossiper/fleet.go
+++ b/coordination/gossiper/fleet.go
@@ -31,9 +31,10 @@
 	// Names lists the names of these instances in order.
 	Names []string
 	// ZoneRank is the number of ready instances of the own availability zone that
-	// come before this one by name.
+	// come before this one by capacity and name.
 	ZoneRank int
-	// Rank is the number of ready instances that come before this one by name.
+	// Rank is the number of ready instances that come before this one by capacity
+	// and name.
 	Rank int
 	// Planner is the address of the instance that holds the planning duty,
 	// empty if none is known.
@@ -81,11 +82,11 @@
 		fleet.Alive = append(fleet.Alive, m.peer)
 		if m.ready {
 			fleet.Ready = append(fleet.Ready, m.peer)
-			if name < g.config.Self.Instance {
+			if m.peer.comesBefore(g.config.Self) {
 				fleet.Rank++
-			}
-			if m.peer.AvailabilityZone == g.config.Self.AvailabilityZone && name < g.config.Self.Instance {
-				fleet.ZoneRank++
+				if m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
+					fleet.ZoneRank++
+				}
 			}
 		}
 		if m.fence > fence {
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -69,7 +69,7 @@
 	forgetAfter = 20 * time.Second
 	// listPeriod is the time between two looks at the registry, and listTimeout
 	// bounds one.
-	listPeriod  = 10 * time.Second
+	listPeriod  = 30 * time.Second
 	listTimeout = time.Second
 	// listRetry is the pause after a failure of the registry.
 	listRetry = 500 * time.Millisecond
@@ -273,7 +273,14 @@
 // sendRound sends the bulletin to the members whose turn it is.
 func (g *Gossiper) sendRound(members map[string]*member, round int) {
 	bulletin := g.compose()
-	payload, err := encoder.Encode(&bulletin)
+	whole, err := encoder.Encode(&bulletin)
+	if err != nil {
+		g.config.Logger.Error().Err(err).Msg("bulletin not encoded")
+		return
+	}
+	// Only the holder of the planning duty needs the demand.
+	bulletin.Demand = nil
+	short, err := encoder.Encode(&bulletin)
 	if err != nil {
 		g.config.Logger.Error().Err(err).Msg("bulletin not encoded")
 		return
@@ -289,8 +296,13 @@
 		case m.peer.AvailabilityZone != g.config.Self.AvailabilityZone:
 			every = remotePeriods
 		}
-		if round%every == 0 || round < silentPeriods {
-			g.sendPayload(m.peer.Address, payload)
+		if round%every != 0 && round >= silentPeriods {
+			continue
+		}
+		if m.fence > 0 {
+			g.sendPayload(m.peer.Address, whole)
+		} else {
+			g.sendPayload(m.peer.Address, short)
 		}
 	}
 }
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -83,8 +83,10 @@
 	callMargin = 700 * time.Millisecond
 	// snapshotTimeout bounds the pages of a snapshot.
 	snapshotTimeout = 3 * time.Second
-	// retryPause is the time between two calls while the feed fails.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the time after the first failure of a feed until the next
+	// call. It doubles up to maxRetryPause, since refused calls cost as much.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = 600 * time.Millisecond
 )
 
 // Observer keeps the newest view. Done is closed when Run has returned.
@@ -145,6 +147,7 @@
 func (o *Observer) follow(ctx context.Context, source Source, feed Feed, wait, period time.Duration) error {
 	next := int64(-1)
 	told := relayer{told: make(map[string]catalog.Upstream)}
+	failurePause := retryPause
 	for {
 		isReader := o.config.IsReader()
 		e := event{source: source, snapshot: next < 0}
@@ -162,8 +165,10 @@
 		case errors.Is(e.err, ErrExpired):
 			next, pause = -1, 0
 		case e.err != nil:
-			pause = retryPause
+			pause = failurePause
+			failurePause = min(2*failurePause, maxRetryPause)
 		default:
+			failurePause = retryPause
 			if isReader {
 				o.tell(source, &told, next, e.batch)
 			}
--- a/coordination/orderer/adapters.go
+++ b/coordination/orderer/adapters.go
@@ -61,7 +61,7 @@
 		delete(o.wanted, want)
 		return
 	}
-	if o.isPlaced(want) {
+	if o.isPlaced(want, now) {
 		delete(o.wanted, want)
 		return
 	}
@@ -80,13 +80,20 @@
 	o.send(ctx, e, Order{Model: want.Model, Adapter: want.Adapter}, service.Engine)
 }
 
+// repeatPeriod is the least time between two tellings of what an engine holds
+// that has not changed.
+const repeatPeriod = 300 * time.Millisecond
+
 // isPlaced tells the instances again which engines hold an adapter, and reports
 // whether there is one.
-func (o *Orderer) isPlaced(want Want) bool {
+func (o *Orderer) isPlaced(want Want, now time.Time) bool {
 	placed := false
+	name := catalog.AdapterName{Model: want.Model, Adapter: want.Adapter}
 	for _, e := range o.engines {
-		if e.state.Service == want.Service && !e.state.IsLeaving && e.state.Holds(want.Model, want.Adapter) {
-			o.config.Placed(&e.state)
+		if e.state.Service == want.Service && !e.state.IsLeaving && e.leaving != name && e.state.Holds(want.Model, want.Adapter) {
+			if now.Sub(e.toldAt) > repeatPeriod {
+				o.tellPlaced(e, now)
+			}
 			placed = true
 		}
 	}
--- a/coordination/orderer/engine.go
+++ b/coordination/orderer/engine.go
@@ -30,6 +30,8 @@
 	isUncertain bool
 	polling     bool
 	polledAt    time.Time
+	// toldAt is when the instances were told last what the engine holds.
+	toldAt time.Time
 }
 
 // adopt takes over what upstreams have announced.
--- a/coordination/orderer/result.go
+++ b/coordination/orderer/result.go
@@ -36,7 +36,7 @@
 	if r.isReport {
 		e.polling = false
 		if r.err == nil && e.takeReport(r.report) {
-			o.config.Placed(&e.state)
+			o.tellPlaced(e, o.config.Now())
 		}
 		return
 	}
@@ -51,14 +51,14 @@
 		e.isUncertain = true
 	case r.answer == Accepted:
 		e.accept(r.order, r.spec, now)
-		o.config.Placed(&e.state)
+		o.tellPlaced(e, now)
 	case r.answer == AlreadyDone:
 		if r.order.Adapter != "" && r.order.Unload {
 			// An adapter without requests is unloaded at once, which counts.
 			e.state.Orders++
 		}
 		e.complete(r.order)
-		o.config.Placed(&e.state)
+		o.tellPlaced(e, now)
 	default:
 		e.restUntil = now.Add(conflictPause)
 		e.isUncertain = r.answer == Conflict
@@ -71,6 +71,17 @@
 	}
 }
 
+// tellPlaced tells the instances what an engine serves. An adapter that is being
+// unloaded takes no new request.
+func (o *Orderer) tellPlaced(e *engine, now time.Time) {
+	e.toldAt = now
+	served := e.state
+	if e.leaving != (catalog.AdapterName{}) {
+		served = served.WithoutAdapter(e.leaving)
+	}
+	o.config.Placed(&served)
+}
+
 // wantOf returns the want that an order answers.
 func (o *Orderer) wantOf(r result) Want {
 	if r.order.Unload || r.err != nil || r.answer != Accepted && r.answer != AlreadyDone {
--- a/daemon/hosted/demand.go
+++ b/daemon/hosted/demand.go
@@ -63,6 +63,18 @@
 	return maps.Clone(m.own)
 }
 
+// demandStep is the precision of the demand that is told, in engines.
+const demandStep = 1.0 / 1024
+
+// tell returns the instance's own demand in a short form.
+func (m *demandMeter) tell() map[string]float64 {
+	demand := m.ownDemand()
+	for model, value := range demand {
+		demand[model] = math.Round(value/demandStep) * demandStep
+	}
+	return demand
+}
+
 // setPeer replaces the demand at another instance.
 func (m *demandMeter) setPeer(instance string, demand map[string]float64) {
 	m.mu.Lock()
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -60,9 +60,11 @@
 	maxHeaderBytes = 32 << 10
 	// maxCrashesTold bounds the crashes in one bulletin.
 	maxCrashesTold = 8
-	// planners is the number of instances that stand for the planning duty, by
-	// name. Each renewal is a call to the store.
-	planners = 10
+	// planners is the number of instances that stand for the planning duty, and
+	// plannersOfLarge that in a large fleet, where instances differ. Each renewal
+	// is a call to the store.
+	planners        = 10
+	plannersOfLarge = 6
 	// groupTTL is the least time after which a silent planner is replaced.
 	groupTTL = 1500 * time.Millisecond
 )
@@ -95,6 +97,8 @@
 	orderer   *orderer.Orderer
 	carrier   *carrier.Carrier
 	egress    *platform.Egress
+	// placements is what the other instances are to be told of engines.
+	placements *placementTeller
 }
 
 // New assembles an instance. The link takes the other instances' datagrams.
@@ -106,13 +110,16 @@
 		done:      make(chan struct{}),
 		changed:   make(chan struct{}, 1),
 		suspector: suspector.New(),
-		demand:    newDemandMeter(time.Now),
+
+		placements: newPlacementTeller(),
+		demand:     newDemandMeter(time.Now),
 		self: gossiper.Peer{
 			Instance:         settings.Instance.ID,
 			Incarnation:      crocushollow.Incarnation(rand.Uint64() | 1),
 			Address:          settings.Listen.Peers,
 			CallerAddress:    settings.Listen.Callers,
 			AvailabilityZone: settings.Instance.AvailabilityZone,
+			Capacity:         settings.Limits.Cores,
 		},
 	}
 	i.bounds.Store(&settings.Bounds)
@@ -164,6 +171,7 @@
 	i.selector = selector.New(selector.Config{
 		AvailabilityZone: i.self.AvailabilityZone,
 		ColdShare:        i.coldShare,
+		IsLargeFleet:     func() bool { return i.gossiper.Fleet().Known > gossiper.LargeFleet },
 		Changed:          i.loadChanged,
 	})
 	i.sites = newSiteKeeper(i.selector, time.Now)
@@ -192,7 +200,7 @@
 		Rest:         time.Duration(bounds.Lease) + leaseMargin,
 		IsFirstStart: i.settings.Instance.FirstStart,
 		Clock:        bootTime,
-		IsCandidate:  func() bool { return i.gossiper.Fleet().Rank < planners },
+		IsCandidate:  i.isCandidate,
 		Logger:       i.logger,
 	})
 	i.egress = platform.NewEgress(platform.EgressConfig{
@@ -243,6 +251,15 @@
 	i.sites.changed = i.siteChanged
 }
 
+// isCandidate reports whether the instance stands for the planning duty.
+func (i *Instance) isCandidate() bool {
+	fleet := i.gossiper.Fleet()
+	if fleet.Known > gossiper.LargeFleet {
+		return fleet.Rank < plannersOfLarge
+	}
+	return fleet.Rank < planners
+}
+
 // bootTime returns the time since the machine's start, with the time that it was
 // suspended.
 func bootTime() time.Duration {
@@ -334,6 +351,7 @@
 	group.Go(func() error { return i.orderer.Run(ctx) })
 	group.Go(func() error { return i.carrier.Run(ctx) })
 	group.Go(func() error { return i.tellChanges(ctx) })
+	group.Go(func() error { return i.tellPlacements(ctx) })
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
--- a/daemon/hosted/settings.go
+++ b/daemon/hosted/settings.go
@@ -51,6 +51,8 @@
 // LimitSettings describe the instance's machine.
 type LimitSettings struct {
 	MemoryMB int64 `toml:"memory_mb"`
+	// Cores is the part of a core that the instance may use, 0 if it is not known.
+	Cores float64 `toml:"cores"`
 }
 
 // BoundSettings are the operators' bounds.
--- a/daemon/hosted/settings_test.go
+++ b/daemon/hosted/settings_test.go
@@ -27,7 +27,7 @@
 		"{{node|json}}", `"front-akl-1"`, "{{zone|json}}", `"akl"`, "{{bootstrap|json}}", "true",
 		"{{listen.front}}", "10.1.0.25:8221", "{{listen.ready}}", "10.1.0.25:8224", "{{listen.directory}}", "10.1.0.25:8220",
 		"{{ip}}", "10.1.0.25", "{{innerPorts.0}}", "7600", "{{innerPorts.1}}", "7601",
-		"{{platform.address|json}}", `"10.200.1.7:8225"`, "{{platform.minTtlMs}}", "1000", "{{limits.memoryMb}}", "284",
+		"{{platform.address|json}}", `"10.200.1.7:8225"`, "{{platform.minTtlMs}}", "1000", "{{limits.memoryMb}}", "284", "{{limits.cpuShare}}", "0.4",
 		"{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", "56",
 		"{{bounds.budgetWindowS}}", "10", "{{bounds.quotaWindowS}}", "8", "{{bounds.quotaSlack}}", "17000",
 		"{{bounds.coldOvershoot}}", "1.5", "{{bounds.coldSlack}}", "5", "{{bounds.leaseMs}}", "3000",
--- a/integration/hosted_control_test.go
+++ b/integration/hosted_control_test.go
@@ -63,18 +63,17 @@
 		table := f.Table()
 		table.Version, table.MorePaths = 7, []string{"/new/"}
 		f.PutTable(table)
-		f.Store.Compact("keyed.op")
-		f.Store.Compact("keyed.servers")
+		f.Compact()
 		f.Store.SetFault(func(platformtest.Call) platformtest.Fault { return platformtest.Healthy })
 		Eventually(func() int { return f.send(platformtest.Request{Path: "/new/1"}).Status }, inForceWithin, "20ms").Should(Equal(200))
 	})
 
 	It("sends nothing to a zone that was taken out, and uses it again when it is back", func() {
 		f := startHosted(2)
-		f.Store.Put("keyed.op", "evacuate/za", []byte("{}"))
+		f.TakeZoneOut("za")
 		Eventually(func() map[string]bool { return f.served(stock(), 6) }, zoneOutWithin).Should(And(HaveLen(1), HaveKey("stamp-i-d")))
-		f.Store.Put("keyed.op", "evacuate/zb", []byte("{}"))
-		f.Store.Drop("keyed.op", "evacuate/za")
+		f.TakeZoneOut("zb")
+		f.PutZoneBack("za")
 		Eventually(func() map[string]bool { return f.served(stock(), 6) }, zoneOutWithin).Should(And(HaveLen(1), HaveKey("stamp-i-c")))
 	})
 
@@ -114,7 +113,7 @@
 		f := startHosted(3)
 		for range 4 {
 			time.Sleep(backOffsetting)
-			f.Store.Redeal("planners")
+			f.RedealDuty()
 		}
 		r := advice()
 		r.Model = platformtest.OtherModel
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -20,6 +20,8 @@
 	Silent
 	// Refuse closes connections.
 	Refuse
+	// OneWay forwards what clients send and drops what they are answered.
+	OneWay
 )
 
 // Proxy forwards connections to one target. Each source, told by its IP
@@ -191,6 +193,10 @@
 		switch fault {
 		case Silent:
 			continue
+		case OneWay:
+			if from == l.upstream {
+				continue
+			}
 		case Refuse:
 			return
 		case Pass:
--- /dev/null
+++ b/standin/soaker/soaker.go
@@ -0,0 +1,262 @@
+// Package soaker runs instances as separate processes on loopback, injects faults
+// from outside and judges what callers and back ends have seen.
+package soaker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+// Config configures a Soaker. All fields are required.
+type Config struct {
+	// Seed decides the faults and the calls.
+	Seed uint64
+	// Duration is the time with faults.
+	Duration  time.Duration
+	Instances int
+	Callers   int
+	// Daemon is the program of an instance.
+	Daemon string
+	// Directory takes the settings and the logs of the processes.
+	Directory string
+}
+
+// Timing of a run.
+const (
+	// readyTimeout bounds the start of the fleet.
+	readyTimeout = 15 * time.Second
+	// settleTime is the time after the last fault within which service must be
+	// back: the operators' recovery bound of 12 s.
+	settleTime = 12 * time.Second
+	// calmTime is the time without faults in which service is measured.
+	calmTime = 4 * time.Second
+)
+
+// Soaker is one run.
+type Soaker struct {
+	config  Config
+	site    *platformtest.Site
+	fleet   []*process
+	links   map[string]*link
+	history *history
+}
+
+// Run runs the fleet with faults and returns what callers and back ends saw, and
+// what of it breaks a promise.
+func Run(ctx context.Context, config Config) (*Report, error) {
+	if err := os.MkdirAll(config.Directory, 0o750); err != nil {
+		return nil, err
+	}
+	s := &Soaker{config: config, site: platformtest.NewSite(), links: make(map[string]*link), history: newHistory()}
+	defer s.close()
+	s.site.PutTable(s.firstTable())
+	for id, engine := range s.site.Engines() {
+		if err := s.front(id, engine); err != nil {
+			return nil, err
+		}
+	}
+	for number := range config.Instances {
+		p, err := newProcess(number, &config, s.site.Store.Address())
+		if err != nil {
+			return nil, err
+		}
+		s.fleet = append(s.fleet, p)
+		if err := p.start(true); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.play(ctx); err != nil {
+		return nil, err
+	}
+	return judge(s.collect()), nil
+}
+
+// firstTable limits the workspace to a part of what the callers ask for.
+func (s *Soaker) firstTable() platformtest.Table {
+	table := s.site.Table()
+	table.Version++
+	table.RatePerS = limitRate
+	return table
+}
+
+// play sends calls and injects faults, and measures the service afterwards.
+func (s *Soaker) play(ctx context.Context) error {
+	callersCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	group, callersCtx := errgroup.WithContext(callersCtx)
+	for number := range s.config.Callers {
+		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))
+		group.Go(func() error { return newCaller(s, random).run(callersCtx) })
+	}
+	faults := newInjector(s, rand.New(rand.NewPCG(s.config.Seed, 0)))
+	err := faults.run(ctx, s.config.Duration)
+	if err == nil {
+		err = sleep(ctx, settleTime)
+	}
+	s.history.calmFrom = time.Now()
+	if err == nil {
+		err = sleep(ctx, calmTime)
+	}
+	s.history.calmUntil = time.Now()
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// errNotReady reports instances that did not become ready.
+var errNotReady = errors.New("instances not ready")
+
+func (s *Soaker) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, p := range s.fleet {
+		for !p.isReady(ctx) {
+			if sleep(ctx, 20*time.Millisecond) != nil {
+				return fmt.Errorf("%w: see %s", errNotReady, filepath.Join(s.config.Directory, p.name+".log"))
+			}
+		}
+	}
+	return nil
+}
+
+// collect adds what the back ends have seen to the history.
+func (s *Soaker) collect() *history {
+	for _, engine := range s.site.Everyone() {
+		s.history.addBackEnd(engine)
+	}
+	return s.history
+}
+
+func (s *Soaker) close() {
+	for _, p := range s.fleet {
+		p.kill()
+		p.store.Close()
+	}
+	for _, l := range s.links {
+		l.proxy.Close()
+	}
+	s.site.Close()
+}
+
+// sleep waits for a time or the context's end.
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// history is what happened in a run.
+type history struct {
+	mu sync.Mutex
+	// calls are those of the callers, in the order of their ends.
+	calls []call
+	// disturbed holds the times in which an instance was under a fault.
+	disturbed map[string][]span
+	// stopped holds the planned stops of instances, and storeFaults the times in
+	// which the store misbehaved for all.
+	stopped     map[string][]span
+	storeFaults []span
+	// edits are the changes of the table and of zones, and leaving the times at
+	// which back ends announced that they leave.
+	edits     []edit
+	zonesOut  map[string][]span
+	leaving   map[string]time.Time
+	backEnds  []backEnd
+	calmFrom  time.Time
+	calmUntil time.Time
+}
+
+// span is a time from one moment to another.
+type span struct{ from, until time.Time }
+
+// overlaps reports whether the span has a part between two moments.
+func (s span) overlaps(from, until time.Time) bool {
+	return s.from.Before(until) && (s.until.IsZero() || s.until.After(from))
+}
+
+// edit is a change of the table. Its paths and keys are those in force after it.
+type edit struct {
+	at    time.Time
+	paths []string
+	keys  []string
+}
+
+// call is a call of a caller with its end.
+type call struct {
+	id       string
+	kind     kind
+	path     string
+	key      string
+	instance string
+	sentAt   time.Time
+	endedAt  time.Time
+	// status is 0 if no answer came.
+	status int
+	body   string
+	events []int
+	whole  bool
+	// gaveUp tells that the caller left, and refused that it reached no listener.
+	gaveUp  bool
+	refused bool
+}
+
+// backEnd is what one life of a back end has seen.
+type backEnd struct {
+	id string
+	// life tells the lives of a back end apart.
+	life     string
+	zone     string
+	service  string
+	runs     []platformtest.Run
+	arrivals []platformtest.Arrival
+	orders   []platformtest.AcceptedOrder
+	faults   []string
+}
+
+func newHistory() *history {
+	return &history{
+		disturbed: make(map[string][]span), stopped: make(map[string][]span),
+		zonesOut: make(map[string][]span), leaving: make(map[string]time.Time),
+	}
+}
+
+func (h *history) addCall(c call) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, c)
+}
+
+// disturb notes a fault of an instance.
+func (h *history) disturb(instance string, from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbed[instance] = append(h.disturbed[instance], span{from, until})
+}
+
+func (h *history) addBackEnd(engine *platformtest.Engine) {
+	service := platformtest.PlainService
+	if engine.IsModelEngine() {
+		service = platformtest.ModelService
+	}
+	h.backEnds = append(h.backEnds, backEnd{
+		id: engine.ID(), life: engine.ID() + "/" + engine.Address(), zone: engine.Zone(), service: service, runs: engine.Runs(),
+		arrivals: engine.Arrivals(), orders: engine.Orders(), faults: engine.Faults(),
+	})
+}
--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -294,7 +294,7 @@
 		own := a.account(name, now)
 		own.told, own.untold, own.burned = own.askedRate(), 0, 0
 		if own.spent != 0 || own.told != 0 {
-			uses[name] = Use{Spent: own.spent, Asked: own.told, Level: own.level}
+			uses[name] = Use{Spent: math.Round(own.spent), Asked: math.Round(own.told), Level: math.Round(own.level)}
 		}
 	}
 	return uses
--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -13,11 +13,11 @@
 
 // Load is the work of one instance on an upstream.
 type Load struct {
-	InFlight int
+	InFlight int `cbor:"1,keyasint,omitempty"`
 	// WaitingTokens counts the prompt tokens of requests without a first event.
-	WaitingTokens float64
+	WaitingTokens float64 `cbor:"2,keyasint,omitempty"`
 	// CacheTokens counts the tokens of all requests in flight.
-	CacheTokens float64
+	CacheTokens float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // add adds another load a number of times.
