Pass messages between zones through one instance per zone

Change: a message to other zones goes to one random instance of each, which forwards it. Changes of load are told to all within 25 ms, bulletins twice a second. The fleet is summed up anew only where a bulletin changes it.

--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -55,10 +55,9 @@
 	// availability zone.
 	period = 250 * time.Millisecond
 	// remotePeriods is the number of periods between two bulletins to another
-	// availability zone, where bytes cost more, and farPeriods that in fleets
-	// above LargeFleet. Two bulletins may be lost before aliveFor has passed.
+	// availability zone, where bytes cost more. Two bulletins may be lost before
+	// aliveFor has passed.
 	remotePeriods = 2
-	farPeriods    = 4
 	// silentPeriods is the number of periods between two bulletins to an
 	// instance that does not answer.
 	silentPeriods = 8
@@ -81,6 +80,9 @@
 	fleet  atomic.Pointer[Fleet]
 	inbox  chan *Bulletin
 	listed chan []Peer
+	// zone holds the addresses of the own availability zone's other instances, to
+	// which messages from other zones are forwarded.
+	zone atomic.Pointer[[]string]
 	// urgent carries bulletins that must not wait for the period.
 	urgent chan outgoing
 	done   chan struct{}
@@ -150,6 +152,10 @@
 func (g *Gossiper) receive(ctx context.Context) error {
 	for {
 		payload, err := g.config.Link.Receive()
+		if err == nil && isForwarded(payload) {
+			payload = payload[1:]
+			g.forward(payload)
+		}
 		switch {
 		case ctx.Err() != nil:
 			// The link was closed to end the wait.
@@ -215,7 +221,9 @@
 		case <-ctx.Done():
 			return nil
 		case bulletin := <-g.inbox:
-			g.take(members, bulletin)
+			if !g.take(members, bulletin) {
+				continue
+			}
 		case peers := <-g.listed:
 			for _, peer := range peers {
 				g.meet(members, peer)
@@ -233,13 +241,15 @@
 			g.sendRound(members, round)
 		}
 		g.fleet.Store(g.summarize(members))
+		g.storeZone(members)
 	}
 }
 
-func (g *Gossiper) take(members map[string]*member, bulletin *Bulletin) {
+// take passes a bulletin on and reports whether the fleet has changed by it.
+func (g *Gossiper) take(members map[string]*member, bulletin *Bulletin) bool {
 	from := bulletin.From
 	if from.Instance == g.config.Self.Instance {
-		return
+		return false
 	}
 	now := g.config.Now()
 	known := members[from.Instance]
@@ -247,7 +257,7 @@
 		if known != nil && known.peer.Incarnation == from.Incarnation {
 			g.config.Received(bulletin)
 		}
-		return
+		return false
 	}
 	isNews := known == nil || known.heardAt.IsZero() || known.peer.Incarnation != from.Incarnation
 	if isNews {
@@ -255,12 +265,15 @@
 		members[from.Instance] = known
 		g.config.Logger.Info().Str("peer", from.Instance).Str("address", from.Address).Msg("instance heard")
 	}
+	isChanged := isNews || now.Sub(known.heardAt) > aliveFor || known.ready != bulletin.Ready ||
+		known.leaving != bulletin.Leaving || known.fence != bulletin.Fence
 	known.peer, known.heardAt = from, now
 	known.ready, known.leaving, known.fence = bulletin.Ready, bulletin.Leaving, bulletin.Fence
 	g.config.Received(bulletin)
 	if isNews {
 		g.send(members, outgoing{bulletin: g.compose(), to: from.Address})
 	}
+	return isChanged
 }
 
 // compose returns the instance's bulletin.
@@ -286,25 +299,30 @@
 		return
 	}
 	now := g.config.Now()
+	isLarge := len(members) > LargeFleet
 	for _, m := range members {
+		isRemote := m.peer.AvailabilityZone != g.config.Self.AvailabilityZone
+		isSilent := now.Sub(m.heardAt) > aliveFor
 		every := 1
 		switch {
-		case now.Sub(m.heardAt) > aliveFor:
+		case isSilent:
 			every = silentPeriods
-		case m.peer.AvailabilityZone != g.config.Self.AvailabilityZone && len(members) > LargeFleet:
-			every = farPeriods
-		case m.peer.AvailabilityZone != g.config.Self.AvailabilityZone:
+		case isRemote:
 			every = remotePeriods
 		}
 		if round%every != 0 && round >= silentPeriods {
 			continue
 		}
-		if m.fence > 0 {
+		switch {
+		case m.fence > 0:
 			g.sendPayload(m.peer.Address, whole)
-		} else {
+		case !isLarge || !isRemote || isSilent:
 			g.sendPayload(m.peer.Address, short)
 		}
 	}
+	if isLarge && round%remotePeriods == 0 {
+		g.sendForwarders(members, short)
+	}
 }
 
 func (g *Gossiper) send(members map[string]*member, message outgoing) {
@@ -317,11 +335,16 @@
 		g.sendPayload(message.to, payload)
 		return
 	}
+	isLarge := len(members) > LargeFleet
 	for _, m := range members {
-		if !message.zoneOnly || m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
+		isRemote := m.peer.AvailabilityZone != g.config.Self.AvailabilityZone
+		if !isRemote || !message.zoneOnly && !isLarge {
 			g.sendPayload(m.peer.Address, payload)
 		}
 	}
+	if isLarge && !message.zoneOnly {
+		g.sendForwarders(members, payload)
+	}
 }
 
 func (g *Gossiper) sendPayload(to string, payload []byte) {
--- a/daemon/hosted/bulletins.go
+++ b/daemon/hosted/bulletins.go
@@ -22,8 +22,10 @@
 
 // Telling of changes between two bulletins.
 const (
-	// changePause gathers changes before they are told.
-	changePause = 8 * time.Millisecond
+	// changePause gathers changes before they are told, and largeChangePause in a
+	// large fleet, where each instance hears of many.
+	changePause      = 8 * time.Millisecond
+	largeChangePause = 25 * time.Millisecond
 )
 
 // tellChanges tells the other instances of the own work on upstreams, so that
@@ -35,18 +37,18 @@
 			return nil
 		case <-i.changed:
 		}
-		time.Sleep(changePause)
+		pause := changePause
+		if i.gossiper.Fleet().Known > gossiper.LargeFleet {
+			pause = largeChangePause
+		}
+		time.Sleep(pause)
 		changes := i.selector.Changes()
 		if len(changes) == 0 {
 			continue
 		}
 		bulletin := gossiper.NewBrief()
 		bulletin.LoadChanges = changes
-		if i.gossiper.Fleet().Known > gossiper.LargeFleet {
-			i.gossiper.SendZone(bulletin)
-		} else {
-			i.gossiper.SendAll(bulletin)
-		}
+		i.gossiper.SendAll(bulletin)
 	}
 }
 
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -171,7 +171,6 @@
 	i.selector = selector.New(selector.Config{
 		AvailabilityZone: i.self.AvailabilityZone,
 		ColdShare:        i.coldShare,
-		IsLargeFleet:     func() bool { return i.gossiper.Fleet().Known > gossiper.LargeFleet },
 		Changed:          i.loadChanged,
 	})
 	i.sites = newSiteKeeper(i.selector, time.Now)
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -27,10 +27,8 @@
 	// runningCost is the delay in milliseconds that one running request adds.
 	runningCost = 1.2
 	// zoneCost is the delay in milliseconds of an upstream in another zone,
-	// there and back. largeFleetCost replaces it where the other zones' work on
-	// it is known late, so that instances do not choose it at the same moment.
-	zoneCost       = 3.0
-	largeFleetCost = 30.0
+	// there and back.
+	zoneCost = 3.0
 	// slotFraction is the part of an upstream's slots that is filled.
 	slotFraction = 0.9
 	// cacheFraction is the part of an engine's cache that running requests may
@@ -95,8 +93,6 @@
 	// ColdShare returns the number of requests that the instance may send to a
 	// cold upstream within a second.
 	ColdShare func(service *catalog.Service, upstream string) int
-	// IsLargeFleet tells that other availability zones tell of their work late.
-	IsLargeFleet func() bool
 	// Changed is called when the instance's own work on upstreams has changed.
 	// It must not block.
 	Changed func()
@@ -269,7 +265,7 @@
 func (s *Selector) cost(c *candidate, need *Need, now time.Time) float64 {
 	var cost float64
 	if c.upstream.AvailabilityZone != s.config.AvailabilityZone {
-		cost += s.zoneCost()
+		cost += zoneCost
 	}
 	cost += c.health.penalty(now)
 	inFlight := float64(c.own.InFlight + c.others.InFlight)
@@ -282,13 +278,6 @@
 	return cost + spread(c.hash, affinityOf(need))
 }
 
-func (s *Selector) zoneCost() float64 {
-	if s.config.IsLargeFleet != nil && s.config.IsLargeFleet() {
-		return largeFleetCost
-	}
-	return zoneCost
-}
-
 // affinityOf returns the hash that requests with a common beginning share, so
 // that all instances prefer the same engine for them.
 func affinityOf(need *Need) uint64 {
