--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -27,8 +27,6 @@
 	drainTime = 2 * time.Second
 	tableTime = 2 * time.Second
 	zoneTime  = 5 * time.Second
-	// rollbackTime is the time after which no older table may be seen again.
-	rollbackTime = 250 * time.Millisecond
 	// answerTime is the routes' time limit with the tolerance beyond it.
 	answerTime = 2500 * time.Millisecond
 	// readTime is the time after which a call counts as read by an instance.
@@ -48,8 +46,8 @@
 	Detail string `json:"detail"`
 }
 
-// Report is what a run has shown.
-type Report struct {
+// Verdict is what a run has shown.
+type Verdict struct {
 	Calls      int            `json:"calls"`
 	Statuses   map[int]int    `json:"statuses"`
 	Runs       int            `json:"runs"`
@@ -63,7 +61,7 @@
 // judgement is a judging in progress.
 type judgement struct {
 	*history
-	report *Report
+	report *Verdict
 	// runs lists the runs of each call.
 	runs map[string][]platformtest.Run
 	// calledAt is the call of each ID.
@@ -73,9 +71,9 @@
 // maxPerCheck bounds the violations of one check in a report.
 const maxPerCheck = 5
 
-func judge(h *history) *Report {
+func judge(h *history) *Verdict {
 	j := &judgement{
-		history: h, report: &Report{Statuses: make(map[int]int), Broken: make(map[string]int)},
+		history: h, report: &Verdict{Statuses: make(map[int]int), Broken: make(map[string]int)},
 		runs: make(map[string][]platformtest.Run), byID: make(map[string]*call),
 	}
 	for i := range h.calls {
@@ -190,22 +188,27 @@
 		for _, fault := range b.faults {
 			j.fail("memory", "%s: %s", b.id, fault)
 		}
-		for _, run := range b.runs {
-			c := j.byID[run.ID]
-			if run.Header.Get("Authorization") != "" {
-				j.fail("keys", "%s carried a key to %s", run.ID, b.id)
-			}
-			if c == nil || !j.isCalm(c.instance, c.sentAt, run.At) {
-				continue
-			}
-			if left, found := j.leaving[b.life]; found && run.At.Sub(left) > drainTime {
-				j.fail("draining", "%s reached %s %s after it announced its leaving", run.ID, b.id, run.At.Sub(left))
-			}
-			for _, out := range j.zonesOut[b.zone] {
-				if run.At.Sub(out.from) > zoneTime && run.At.Before(out.until) {
-					j.fail("zone_out", "%s reached %s %s after its zone was taken out", run.ID, b.id, run.At.Sub(out.from))
-				}
-			}
+		for k := range b.runs {
+			j.checkRun(b, &b.runs[k])
+		}
+	}
+}
+
+// checkRun checks that a back end was due to get a request.
+func (j *judgement) checkRun(b *backEnd, run *platformtest.Run) {
+	if run.Header.Get("Authorization") != "" {
+		j.fail("keys", "%s carried a key to %s", run.ID, b.id)
+	}
+	c := j.byID[run.ID]
+	if c == nil || !j.isCalm(c.instance, c.sentAt, run.At) {
+		return
+	}
+	if left, found := j.leaving[b.life]; found && run.At.Sub(left) > drainTime {
+		j.fail("draining", "%s reached %s %s after it announced its leaving", run.ID, b.id, run.At.Sub(left))
+	}
+	for _, out := range j.zonesOut[b.zone] {
+		if run.At.Sub(out.from) > zoneTime && run.At.Before(out.until) {
+			j.fail("zone_out", "%s reached %s %s after its zone was taken out", run.ID, b.id, run.At.Sub(out.from))
 		}
 	}
 }
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/crocushollow/crocushollow/standin/faultproxy"
 )
@@ -124,19 +123,6 @@
 	}
 }
 
-// await reports whether the program ends within a time.
-func (p *process) await(timeout time.Duration) bool {
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
-	select {
-	case <-exited:
-		return true
-	case <-time.After(timeout):
-		return false
-	}
-}
-
 // kill ends the program at once and waits for its end.
 func (p *process) kill() {
 	if p.command == nil {
