Let nobody stand for a planning duty that is held

Cause: ten instances stood for the duty, and each one that joined or left the group made it deal the duty anew; each new holder rests for 4.3 s.

Change: an instance stands only while no holder is known, the first by capacity and name at once and one more each second, and not before it has heard of the others. One instance a zone reads the feeds also in large fleets. Callers are told to come back after 1.5 s for an absent model and 0.5 s for busy engines.

--- a/coordination/gossiper/fleet.go
+++ b/coordination/gossiper/fleet.go
@@ -33,7 +33,7 @@
 	// ZoneRank is the number of ready instances of the own availability zone that
 	// come before this one by capacity and name.
 	ZoneRank int
-	// Rank is the number of ready instances that come before this one by capacity
+	// Rank is the number of instances alive that come before this one by capacity
 	// and name.
 	Rank int
 	// Planner is the address of the instance that holds the planning duty,
@@ -80,13 +80,14 @@
 			continue
 		}
 		fleet.Alive = append(fleet.Alive, m.peer)
+		comesBefore := m.peer.comesBefore(g.config.Self)
+		if comesBefore {
+			fleet.Rank++
+		}
 		if m.ready {
 			fleet.Ready = append(fleet.Ready, m.peer)
-			if m.peer.comesBefore(g.config.Self) {
-				fleet.Rank++
-				if m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
-					fleet.ZoneRank++
-				}
+			if comesBefore && m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
+				fleet.ZoneRank++
 			}
 		}
 		if m.fence > fence {
--- a/coordination/keeper/keeper.go
+++ b/coordination/keeper/keeper.go
@@ -56,9 +56,6 @@
 	validity = 0.75
 	// stopTimeout bounds the call that leaves the group.
 	stopTimeout = 500 * time.Millisecond
-	// firstDelay is how long the first holder of a site waits until the others
-	// have joined, since the group deals the duty anew at each join.
-	firstDelay = time.Second
 )
 
 // term is a time for which the duty is held.
@@ -111,11 +108,10 @@
 	defer close(k.done)
 	period := k.config.TTL / renewals
 	isFirst := k.config.IsFirstStart
-	startedAt := k.config.Clock()
 	for ctx.Err() == nil {
 		sentAt := k.config.Clock()
 		if k.term.Load() != nil || k.config.IsCandidate() {
-			k.renew(ctx, sentAt, isFirst, !isFirst || sentAt-startedAt > firstDelay)
+			k.renew(ctx, sentAt, isFirst)
 		}
 		timer := time.NewTimer(max(period-(k.config.Clock()-sentAt), period/10))
 		select {
@@ -134,7 +130,7 @@
 }
 
 // renew joins the group and extends or ends a term, or begins one if it may.
-func (k *Keeper) renew(ctx context.Context, sentAt time.Duration, isFirst, mayBegin bool) {
+func (k *Keeper) renew(ctx context.Context, sentAt time.Duration, isFirst bool) {
 	valid := time.Duration(float64(k.config.TTL) * validity)
 	callCtx, cancel := context.WithTimeout(ctx, valid)
 	defer cancel()
@@ -149,7 +145,7 @@
 	switch {
 	case !isHolder && current != nil:
 		k.end(current, "given to another instance")
-	case !isHolder || current == nil && !mayBegin:
+	case !isHolder:
 	case current == nil || sentAt >= current.until:
 		k.begin(callCtx, sentAt, valid, isFirst)
 	default:
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -7,21 +7,10 @@
 	"github.com/crocushollow/crocushollow/coordination/observer"
 )
 
-// readersPerZone is the number of instances that read the platform's feeds for
-// an availability zone with many instances. In a zone of few, one reads.
-const (
-	readersPerZone = 2
-	fewInstances   = 4
-)
-
 // isReader reports whether the instance reads the platform's feeds for its zone.
+// One does; the others read themselves when they hear nothing from it.
 func (i *Instance) isReader() bool {
-	fleet := i.gossiper.Fleet()
-	readers := 1
-	if fleet.Known > fewInstances*readersPerZone*2 {
-		readers = readersPerZone
-	}
-	return !i.leaving.Load() && fleet.ZoneRank < readers
+	return !i.leaving.Load() && i.gossiper.Fleet().ZoneRank == 0
 }
 
 // relay tells the instances of the zone what a read has brought.
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -60,11 +60,6 @@
 	maxHeaderBytes = 32 << 10
 	// maxCrashesTold bounds the crashes in one bulletin.
 	maxCrashesTold = 8
-	// planners is the number of instances that stand for the planning duty, and
-	// plannersOfLarge that in a large fleet, where instances differ. Each renewal
-	// is a call to the store.
-	planners        = 10
-	plannersOfLarge = 6
 	// groupTTL is the least time after which a silent planner is replaced.
 	groupTTL = 1500 * time.Millisecond
 )
@@ -94,6 +89,7 @@
 	observer  *observer.Observer
 	gossiper  *gossiper.Gossiper
 	keeper    *keeper.Keeper
+	candidacy *keeper.Candidacy
 	orderer   *orderer.Orderer
 	carrier   *carrier.Carrier
 	egress    *platform.Egress
@@ -113,6 +109,7 @@
 
 		placements: newPlacementTeller(),
 		demand:     newDemandMeter(time.Now),
+		candidacy:  keeper.NewCandidacy(time.Now()),
 		self: gossiper.Peer{
 			Instance:         settings.Instance.ID,
 			Incarnation:      crocushollow.Incarnation(rand.Uint64() | 1),
@@ -253,10 +250,7 @@
 // isCandidate reports whether the instance stands for the planning duty.
 func (i *Instance) isCandidate() bool {
 	fleet := i.gossiper.Fleet()
-	if fleet.Known > gossiper.LargeFleet {
-		return fleet.Rank < plannersOfLarge
-	}
-	return fleet.Rank < planners
+	return i.candidacy.Stands(fleet.Rank, fleet.Planner != "", time.Now())
 }
 
 // bootTime returns the time since the machine's start, with the time that it was
--- a/protocol/carrier/queue.go
+++ b/protocol/carrier/queue.go
@@ -208,9 +208,9 @@
 // retryAfters are the times after which a call may come again that found no
 // upstream.
 var retryAfters = map[selector.Verdict]time.Duration{
-	selector.Busy:          300 * time.Millisecond,
+	selector.Busy:          500 * time.Millisecond,
 	selector.AdapterAbsent: 200 * time.Millisecond,
-	selector.ModelAbsent:   700 * time.Millisecond,
+	selector.ModelAbsent:   1500 * time.Millisecond,
 	selector.NoUpstream:    700 * time.Millisecond,
 }
 
