Count the retry budget by the steady clock

Cause: the windows of the budget were numbered by the time of day, which may jump by seconds (clock_step). A jump ahead forgot the repeats of the last window; one back put all into a single part of it. Go cannot fabricate a time whose two clocks differ, so no spec shows it; the window is counted from the start.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -236,6 +236,7 @@
 			Extra:     bounds.RetryExtra,
 			Window:    time.Duration(bounds.RetryWindow),
 			Instances: instances,
+			Started:   i.startedAt,
 		}),
 		Suspector:   i.suspector,
 		Sender:      i.egress,
--- a/state/budgeter/budgeter.go
+++ b/state/budgeter/budgeter.go
@@ -21,6 +21,9 @@
 	Window time.Duration
 	// Instances returns the number of instances that share Extra.
 	Instances func() int
+	// Started is when the instance started. Time is counted from it, since the
+	// time of day may jump.
+	Started time.Time
 }
 
 // safety is the part of the bound that is used. The rest covers instances that
@@ -46,7 +49,7 @@
 type window struct {
 	requests [buckets]float64
 	repeats  [buckets]float64
-	// newest is the number of the newest bucket since the epoch.
+	// newest is the number of the newest bucket since the start.
 	newest int64
 }
 
@@ -84,7 +87,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	number := now.UnixNano() / int64(b.config.Window/buckets)
+	number := int64(now.Sub(b.config.Started) / (b.config.Window / buckets))
 	for steps := min(number-w.newest, buckets); steps > 0; steps-- {
 		slot := (number - steps + 1) % buckets
 		w.requests[slot], w.repeats[slot] = 0, 0
--- a/state/budgeter/budgeter_test.go
+++ b/state/budgeter/budgeter_test.go
@@ -19,6 +19,7 @@
 func newBudgeter(instances int) *budgeter.Budgeter {
 	return budgeter.New(budgeter.Config{
 		Ratio: 0.2, Extra: 56, Window: 10 * time.Second, Instances: func() int { return instances },
+		Started: time.Unix(1000, 0),
 	})
 }
 
