--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -379,33 +379,3 @@
 		i.busy["zone"] = false
 	}})
 }
-
-func (h *history) stop(instance string, s span) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stopped[instance] = append(h.stopped[instance], s)
-}
-
-func (h *history) harmStore(from, until time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.storeFaults = append(h.storeFaults, span{from, until})
-}
-
-func (h *history) leave(backEnd string, at time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leaving[backEnd] = at
-}
-
-func (h *history) zoneOut(zone string, s span) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.zonesOut[zone] = append(h.zonesOut[zone], s)
-}
-
-func (h *history) addEdit(e edit) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.edits = append(h.edits, e)
-}
