Keep the platform's words in its folder also in a test

Cause: integration/hosted_control_test.go wrote announcements to the store under the platform's own topic. platformtest.Site.Announce and two bad announcements hold them now.

--- a/integration/hosted_control_test.go
+++ b/integration/hosted_control_test.go
@@ -85,9 +85,9 @@
 
 	It("ignores entries that cannot be read and keeps the others", func() {
 		f := startHosted(1)
-		f.Store.Put("keyed.servers", "i-x", []byte{0xff, 0x00, 'x'})
-		f.Store.Put("keyed.servers", "i-y", []byte(`{"service":"desk","address":7,"zone":"za","state":"ready","slots":4}`))
-		f.Store.Put("keyed.servers", "i-z", []byte(`{"service":"desk","address":"127.0.0.1:1","zone":"za","state":"asleep","slots":4}`))
+		f.Announce("i-x", []byte{0xff, 0x00, 'x'})
+		f.Announce("i-y", platformtest.BadAddress)
+		f.Announce("i-z", platformtest.BadState)
 		Consistently(func() int { return f.send(stock()).Status }, "1500ms", "100ms").Should(Equal(200))
 	})
 
