Aggregate heartbeats in each availability zone of a large fleet

Cause: in a fleet of 195 every instance received every change of load and every heartbeat of every other one, some 3,300 datagrams a second, and summed them up itself.

Change: above 24 instances those of a zone report to its aggregator, the strongest one that is alive. Aggregators exchange sums of loads, use of limits and demand, and each instance gets the sums over all others from its aggregator, exact with respect to its own share. Rosters carry liveness. Another instance takes over after 600 ms of silence; counters belong to a term, so that nothing counts twice. Forwarders are gone.

In the same commit, since the files overlap: callers of a large fleet get at most 64 addresses, the strongest half of their zone (the protocol allows 64; all 195 were sent), and an instance is ready only once it has read the registrations too.

--- a/coordination/gossiper/fleet.go
+++ b/coordination/gossiper/fleet.go
@@ -6,21 +6,43 @@
 	"time"
 )
 
-// LargeFleetSize is the number of instances above which instances send fewer
-// messages: those to other availability zones go through forwarders.
-const LargeFleetSize = 24
-
 // member is another instance of the fleet.
 type member struct {
 	peer Peer
-	// lastHeartbeatAt is zero for an instance that is only known from the
-	// registry.
+	// lastHeartbeatAt is when the instance was last known to be alive, from its own
+	// heartbeat or from a roster. It is zero for an instance that is only known from
+	// the registry.
 	lastHeartbeatAt time.Time
-	isReady         bool
-	isDraining      bool
-	fencingToken    int64
+	// lastDirectAt is when the last message arrived from the instance itself.
+	lastDirectAt time.Time
+	// isSuspect means that the instance was the aggregator and fell silent. It is
+	// not chosen again until it is heard.
+	isSuspect bool
+	// rosterVersion is the version of the last roster that listed the instance.
+	rosterVersion uint64
+	isReady       bool
+	isDraining    bool
+	fencingToken  int64
+}
+
+// setStatus updates the status and the time at which the instance was alive. It
+// reports whether the fleet has changed.
+func (m *member) setStatus(status PeerStatus, now time.Time) bool {
+	hasChanged := now.Sub(m.lastHeartbeatAt) > livenessTimeout || m.isReady != status.Ready ||
+		m.isDraining != status.Draining || m.fencingToken != status.FencingToken
+	m.peer, m.lastHeartbeatAt = status.Peer, now
+	m.isReady, m.isDraining, m.fencingToken = status.Ready, status.Draining, status.FencingToken
+	return hasChanged
+}
+
+func (m *member) status() PeerStatus {
+	return PeerStatus{Peer: m.peer, Ready: m.isReady, Draining: m.isDraining, FencingToken: m.fencingToken}
 }
 
+func (m *member) heardDirectly(now time.Time) { m.lastDirectAt, m.isSuspect = now, false }
+
+func (m *member) isAlive(now time.Time) bool { return now.Sub(m.lastHeartbeatAt) <= livenessTimeout }
+
 // Fleet is the view that this instance has of all instances. It is immutable.
 type Fleet struct {
 	// Alive lists the peers that are alive and not shutting down.
@@ -48,40 +70,51 @@
 
 // addListed adds an instance that the registry lists, unless it is known. The
 // instance gets heartbeats, but counts as alive only after its own first one.
-func (g *Gossiper) addListed(members map[string]*member, peer Peer) {
-	known := members[peer.Instance]
+func (g *Gossiper) addListed(peer Peer) {
+	known := g.members[peer.Instance]
 	if peer.Instance == g.config.Self.Instance || known != nil {
 		return
 	}
-	members[peer.Instance] = &member{peer: peer}
+	g.members[peer.Instance] = &member{peer: peer}
+}
+
+// addMember adds an instance that is alive, or replaces an earlier incarnation.
+func (g *Gossiper) addMember(peer Peer) *member {
+	m := &member{peer: peer}
+	g.members[peer.Instance] = m
+	g.config.Logger.Info().Str("peer", peer.Instance).Str("address", peer.Address).Msg("instance heard")
+	return m
 }
 
 // removeStale removes instances that have been silent for too long or have shut
 // down.
-func (g *Gossiper) removeStale(members map[string]*member) {
+func (g *Gossiper) removeStale() {
 	now := g.config.Now()
-	for name, m := range members {
+	for name, m := range g.members {
 		isSilent := !m.lastHeartbeatAt.IsZero() && now.Sub(m.lastHeartbeatAt) > removalTimeout
 		hasStopped := m.isDraining && now.Sub(m.lastHeartbeatAt) > livenessTimeout
 		if isSilent || hasStopped {
-			delete(members, name)
-			g.config.OnPeerRemoved(name)
+			delete(g.members, name)
+			g.config.OnSourceRemoved(name)
+			if g.aggregation != nil {
+				g.aggregation.sums.Remove(name)
+			}
 			g.config.Logger.Info().Str("peer", name).Bool("had_announced", m.isDraining).Msg("instance forgotten")
 		}
 	}
 }
 
 // summarize builds the view of the fleet from the members.
-func (g *Gossiper) summarize(members map[string]*member) *Fleet {
+func (g *Gossiper) summarize() *Fleet {
 	now := g.config.Now()
 	fleet := &Fleet{Names: []string{g.config.Self.Instance}}
 	var highestToken int64
-	for name, m := range members {
+	for name, m := range g.members {
 		if m.lastHeartbeatAt.IsZero() {
 			continue
 		}
 		fleet.Names = append(fleet.Names, name)
-		if now.Sub(m.lastHeartbeatAt) > livenessTimeout || m.isDraining {
+		if !m.isAlive(now) || m.isDraining {
 			continue
 		}
 		fleet.Alive = append(fleet.Alive, m.peer)
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -4,6 +4,12 @@
 // Instances discover each other through a durable registry, and through the
 // heartbeats of instances that have discovered them. Heartbeats may be lost, so
 // each full one carries the complete current status of its sender.
+//
+// In a small fleet every instance sends its heartbeats to every other one. In a
+// large fleet each availability zone has an aggregator: the instances of the zone
+// send their heartbeats to it, the aggregators of the zones exchange sums, and each
+// instance receives the sums over all others from its aggregator. What an instance
+// sends and receives thus does not grow with the fleet.
 package gossiper
 
 import (
@@ -15,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocushollow/crocushollow/state/aggregator"
 	"github.com/crocushollow/crocushollow/state/encoder"
 )
 
@@ -33,21 +40,26 @@
 	List(ctx context.Context) ([]Peer, error)
 }
 
-// Config configures a Gossiper. All fields are required.
+// Config configures a Gossiper. All fields are required. Its callbacks are called
+// from the control goroutine.
 type Config struct {
 	Self     Peer
 	Link     Link
 	Registry Registry
 	// BuildHeartbeat returns this instance's current heartbeat with an empty From.
 	BuildHeartbeat func() Heartbeat
-	// OnHeartbeat is called from the control goroutine for each received
-	// heartbeat.
+	// OnHeartbeat is called for each received heartbeat. Its loads, uses and demand
+	// are left out if sums include them.
 	OnHeartbeat func(*Heartbeat)
-	// OnPeerRemoved is called from the control goroutine for an instance that has
-	// been silent for removalTimeout or has shut down.
-	OnPeerRemoved func(instance string)
-	Logger        zerolog.Logger
-	Now           func() time.Time
+	// OnSums is called with the sums over several instances. The source names them,
+	// and uptime is the time since the start of the instance that computed the sums.
+	OnSums func(source string, sums *aggregator.Sums, uptime time.Duration)
+	// OnSourceRemoved is called for an instance that has been silent for
+	// removalTimeout or has shut down, and for an instance or a source of sums whose
+	// reports are now included in other sums.
+	OnSourceRemoved func(source string)
+	Logger          zerolog.Logger
+	Now             func() time.Time
 }
 
 // Timing of heartbeats and of the registry.
@@ -80,16 +92,29 @@
 // Gossiper exchanges heartbeats with all instances. It is safe for concurrent
 // use.
 type Gossiper struct {
-	config Config
-	fleet  atomic.Pointer[Fleet]
-	inbox  chan *Heartbeat
-	listed chan []Peer
-	// zonePeers holds the addresses of the other instances in this instance's
-	// availability zone. Messages from other zones are forwarded to them.
-	zonePeers atomic.Pointer[[]string]
+	config    Config
+	startedAt time.Time
+	fleet     atomic.Pointer[Fleet]
+	inbox     chan message
+	listed    chan []Peer
 	// outbox queues heartbeats that are sent outside the regular rounds.
 	outbox chan outgoing
 	done   chan struct{}
+
+	// The fields below are accessed by the control goroutine only.
+
+	members map[string]*member
+	role    role
+	// isDraining is set once this instance shuts down.
+	isDraining bool
+	// aggregation is nil unless this instance aggregates for its availability zone.
+	aggregation *aggregation
+}
+
+// message is a received datagram. Exactly one of heartbeat and digest is set.
+type message struct {
+	heartbeat *Heartbeat
+	digest    *Digest
 }
 
 // outgoing is a heartbeat that is sent outside the regular rounds.
@@ -107,11 +132,13 @@
 // New returns a gossiper that is not running. Run starts it.
 func New(config Config) *Gossiper {
 	g := &Gossiper{
-		config: config,
-		inbox:  make(chan *Heartbeat, queueCapacity),
-		listed: make(chan []Peer),
-		outbox: make(chan outgoing, queueCapacity),
-		done:   make(chan struct{}),
+		config:    config,
+		startedAt: config.Now(),
+		inbox:     make(chan message, queueCapacity),
+		listed:    make(chan []Peer),
+		outbox:    make(chan outgoing, queueCapacity),
+		done:      make(chan struct{}),
+		members:   make(map[string]*member),
 	}
 	g.fleet.Store(&Fleet{Size: 1, Names: []string{config.Self.Instance}})
 	return g
@@ -155,14 +182,10 @@
 	return group.Wait()
 }
 
-// receive forwards and decodes datagrams until the link is closed.
+// receive decodes datagrams until the link is closed.
 func (g *Gossiper) receive(ctx context.Context) error {
 	for {
 		payload, err := g.config.Link.Receive()
-		if err == nil && isForwarded(payload) {
-			payload = payload[1:]
-			g.forwardToZone(payload)
-		}
 		switch {
 		case ctx.Err() != nil:
 			// control closes the link when the context ends, which unblocks
@@ -171,19 +194,30 @@
 		case err != nil:
 			return err
 		}
-		heartbeat := new(Heartbeat)
-		if err := encoder.Decode(payload, heartbeat); err != nil {
-			g.config.Logger.Warn().Err(err).Int("bytes", len(payload)).Msg("datagram discarded: invalid heartbeat")
+		received, err := decodeMessage(payload)
+		if err != nil {
+			g.config.Logger.Warn().Err(err).Int("bytes", len(payload)).Msg("datagram discarded: invalid message")
 			continue
 		}
 		select {
-		case g.inbox <- heartbeat:
+		case g.inbox <- received:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+func decodeMessage(payload []byte) (message, error) {
+	if isDigest(payload) {
+		digest := new(Digest)
+		err := encoder.Decode(payload[1:], digest)
+		return message{digest: digest}, err
+	}
+	heartbeat := new(Heartbeat)
+	err := encoder.Decode(payload, heartbeat)
+	return message{heartbeat: heartbeat}, err
+}
+
 // pollRegistry registers this instance and reads the registry periodically.
 func (g *Gossiper) pollRegistry(ctx context.Context) error {
 	isRegistered := false
@@ -219,71 +253,105 @@
 	}
 }
 
-// control maintains the members and sends heartbeats until the context ends. It
-// alone accesses the members.
+// control maintains the members and sends heartbeats until the context ends.
 func (g *Gossiper) control(ctx context.Context) error {
-	members := make(map[string]*member)
-	ticker := time.NewTicker(heartbeatPeriod)
-	defer ticker.Stop()
+	heartbeats := time.NewTicker(heartbeatPeriod)
+	defer heartbeats.Stop()
+	digests := time.NewTicker(digestPeriod)
+	defer digests.Stop()
+	digests.Stop()
 	for round := 0; ; {
+		wasAggregator := g.aggregation != nil
 		select {
 		case <-ctx.Done():
 			return nil
-		case heartbeat := <-g.inbox:
-			if !g.handleHeartbeat(members, heartbeat) {
-				continue
+		case received := <-g.inbox:
+			if g.handleMessage(received) {
+				g.updateFleet()
 			}
 		case peers := <-g.listed:
 			for _, peer := range peers {
-				g.addListed(members, peer)
+				g.addListed(peer)
 			}
-		case message := <-g.outbox:
-			message.heartbeat.From = g.config.Self
-			if message.heartbeat.IsPartial() {
-				message.heartbeat.From.CallerAddress, message.heartbeat.From.AvailabilityZone = "", ""
-			}
-			g.send(members, message)
-			continue
-		case <-ticker.C:
+			g.updateFleet()
+		case outgoing := <-g.outbox:
+			g.sendOutgoing(outgoing)
+		case <-heartbeats.C:
 			round++
-			g.removeStale(members)
-			g.sendRound(members, round)
+			g.removeStale()
+			g.updateFleet()
+			g.sendRound(round)
+		case <-digests.C:
+			g.sendDigests()
+		}
+		if isAggregator := g.aggregation != nil; isAggregator && !wasAggregator {
+			digests.Reset(digestPeriod)
+		} else if !isAggregator && wasAggregator {
+			digests.Stop()
 		}
-		g.fleet.Store(g.summarize(members))
-		g.updateZonePeers(members)
 	}
 }
 
-// handleHeartbeat updates the members from a received heartbeat and passes it to
+// updateFleet updates the role of this instance and the view of the fleet.
+func (g *Gossiper) updateFleet() {
+	g.updateRole()
+	g.fleet.Store(g.summarize())
+}
+
+// handleMessage updates the members from a received message. It reports whether
+// the fleet has changed.
+func (g *Gossiper) handleMessage(received message) bool {
+	if received.digest != nil {
+		return g.handleDigest(received.digest)
+	}
+	return g.handleHeartbeat(received.heartbeat)
+}
+
+// handleHeartbeat updates the members from a heartbeat and passes it to
 // OnHeartbeat. It reports whether the fleet has changed.
-func (g *Gossiper) handleHeartbeat(members map[string]*member, heartbeat *Heartbeat) bool {
+func (g *Gossiper) handleHeartbeat(heartbeat *Heartbeat) bool {
 	from := heartbeat.From
 	if from.Instance == g.config.Self.Instance {
 		return false
 	}
 	now := g.config.Now()
-	known := members[from.Instance]
+	known := g.members[from.Instance]
 	if heartbeat.IsPartial() {
 		if known != nil && known.peer.Incarnation == from.Incarnation {
-			g.config.OnHeartbeat(heartbeat)
+			known.heardDirectly(now)
+			g.deliver(known, heartbeat)
 		}
 		return false
 	}
 	isNew := known == nil || known.lastHeartbeatAt.IsZero() || known.peer.Incarnation != from.Incarnation
 	if isNew {
-		known = &member{}
-		members[from.Instance] = known
-		g.config.Logger.Info().Str("peer", from.Instance).Str("address", from.Address).Msg("instance heard")
+		known = g.addMember(from)
 	}
-	hasChanged := isNew || now.Sub(known.lastHeartbeatAt) > livenessTimeout || known.isReady != heartbeat.Ready ||
-		known.isDraining != heartbeat.Draining || known.fencingToken != heartbeat.FencingToken
-	known.peer, known.lastHeartbeatAt = from, now
-	known.isReady, known.isDraining, known.fencingToken = heartbeat.Ready, heartbeat.Draining, heartbeat.FencingToken
-	g.config.OnHeartbeat(heartbeat)
+	status := PeerStatus{Peer: from, Ready: heartbeat.Ready, Draining: heartbeat.Draining, FencingToken: heartbeat.FencingToken}
+	wasSuspect := known.isSuspect
+	hasChanged := known.setStatus(status, now) || isNew
+	known.heardDirectly(now)
+	if g.aggregation != nil && hasChanged {
+		g.aggregation.isRosterStale = true
+	}
+	g.deliver(known, heartbeat)
 	if isNew {
-		g.send(members, outgoing{heartbeat: g.buildHeartbeat(), to: from.Address})
+		g.sendHeartbeat(g.buildHeartbeat(), from.Address)
 	}
-	return hasChanged
+	return hasChanged || wasSuspect
+}
+
+// deliver passes a heartbeat to the aggregation and to OnHeartbeat. What sums
+// already include is left out.
+func (g *Gossiper) deliver(from *member, heartbeat *Heartbeat) {
+	isInZone := from.peer.AvailabilityZone == g.config.Self.AvailabilityZone
+	if g.aggregation != nil && isInZone {
+		g.aggregation.add(heartbeat, g.config.Now())
+	}
+	if g.role.kind == following || g.role.kind == aggregating && !isInZone {
+		heartbeat = heartbeat.events()
+	}
+	g.config.OnHeartbeat(heartbeat)
 }
 
 // buildHeartbeat returns this instance's current heartbeat.
@@ -294,68 +362,102 @@
 }
 
 // sendRound sends the current heartbeat to the members that are due in a round.
-func (g *Gossiper) sendRound(members map[string]*member, round int) {
+func (g *Gossiper) sendRound(round int) {
 	heartbeat := g.buildHeartbeat()
-	withDemand, err := encoder.Encode(&heartbeat)
-	if err != nil {
-		g.config.Logger.Error().Err(err).Msg("failed to encode heartbeat")
+	if g.aggregation != nil {
+		g.aggregation.add(&heartbeat, g.config.Now())
+	}
+	withDemand, ok := g.encode(&heartbeat)
+	if !ok {
 		return
 	}
-	// Only the planner leader needs the demand.
-	heartbeat.Demand = nil
-	withoutDemand, err := encoder.Encode(&heartbeat)
-	if err != nil {
-		g.config.Logger.Error().Err(err).Msg("failed to encode heartbeat")
+	// Only the planner leader and the aggregator need the demand.
+	rest := heartbeat
+	rest.Demand = nil
+	withoutDemand, ok := g.encode(&rest)
+	if !ok {
 		return
 	}
-	now := g.config.Now()
-	isLarge := len(members) > LargeFleetSize
-	for _, m := range members {
-		isRemote := m.peer.AvailabilityZone != g.config.Self.AvailabilityZone
-		isSilent := now.Sub(m.lastHeartbeatAt) > livenessTimeout
-		periods := 1
+	for name, m := range g.members {
+		periods := g.sendPeriods(name, m)
 		switch {
-		case isSilent:
-			periods = silentPeriods
-		case isRemote:
-			periods = remotePeriods
-		}
-		if round%periods != 0 && round >= silentPeriods {
-			continue
-		}
-		switch {
-		case m.fencingToken > 0:
+		case periods == 0 || round%periods != 0 && round >= silentPeriods:
+		case m.fencingToken > 0 || name == g.role.aggregator:
 			g.sendPayload(m.peer.Address, withDemand)
-		case !isLarge || !isRemote || isSilent:
+		default:
 			g.sendPayload(m.peer.Address, withoutDemand)
 		}
 	}
-	if isLarge && round%remotePeriods == 0 {
-		g.sendToForwarders(members, withoutDemand)
+}
+
+// sendPeriods returns the number of periods between two heartbeats to a member. It
+// returns 0 if the member gets none.
+func (g *Gossiper) sendPeriods(name string, m *member) int {
+	isRemote := m.peer.AvailabilityZone != g.config.Self.AvailabilityZone
+	isSilent := g.config.Now().Sub(m.lastHeartbeatAt) > livenessTimeout
+	switch {
+	case name == g.role.aggregator:
+		return 1
+	case isSilent && (g.role.kind == direct || !isRemote):
+		return silentPeriods
+	case g.role.kind != direct:
+		return 0
+	case isRemote:
+		return remotePeriods
 	}
+	return 1
 }
 
-// send sends a heartbeat to its receiver, or broadcasts it.
-func (g *Gossiper) send(members map[string]*member, message outgoing) {
-	payload, err := encoder.Encode(&message.heartbeat)
-	if err != nil {
-		g.config.Logger.Error().Err(err).Msg("failed to encode outgoing heartbeat")
-		return
+// sendOutgoing sends a heartbeat to its receiver, or broadcasts it.
+func (g *Gossiper) sendOutgoing(message outgoing) {
+	message.heartbeat.From = g.config.Self
+	if message.heartbeat.Draining && !g.isDraining {
+		g.isDraining = true
+		defer g.updateFleet()
 	}
-	if message.to != "" {
-		g.sendPayload(message.to, payload)
+	if message.heartbeat.IsPartial() {
+		message.heartbeat.From.CallerAddress, message.heartbeat.From.AvailabilityZone = "", ""
+	}
+	switch {
+	case message.to != "":
+		g.sendHeartbeat(message.heartbeat, message.to)
+	case g.aggregation != nil && !message.zoneOnly:
+		g.aggregation.add(&message.heartbeat, g.config.Now())
+	case g.role.kind == following && !message.zoneOnly:
+		if m := g.members[g.role.aggregator]; m != nil {
+			g.sendHeartbeat(message.heartbeat, m.peer.Address)
+		}
+	default:
+		g.broadcast(message)
+	}
+}
+
+// broadcast sends a heartbeat to every member, or to those in this instance's
+// availability zone.
+func (g *Gossiper) broadcast(message outgoing) {
+	payload, ok := g.encode(&message.heartbeat)
+	if !ok {
 		return
 	}
-	isLarge := len(members) > LargeFleetSize
-	for _, m := range members {
-		isRemote := m.peer.AvailabilityZone != g.config.Self.AvailabilityZone
-		if !isRemote || !message.zoneOnly && !isLarge {
+	for _, m := range g.members {
+		if !message.zoneOnly || m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
 			g.sendPayload(m.peer.Address, payload)
 		}
 	}
-	if isLarge && !message.zoneOnly {
-		g.sendToForwarders(members, payload)
+}
+
+func (g *Gossiper) sendHeartbeat(heartbeat Heartbeat, to string) {
+	if payload, ok := g.encode(&heartbeat); ok {
+		g.sendPayload(to, payload)
+	}
+}
+
+func (g *Gossiper) encode(heartbeat *Heartbeat) ([]byte, bool) {
+	payload, err := encoder.Encode(heartbeat)
+	if err != nil {
+		g.config.Logger.Error().Err(err).Msg("failed to encode heartbeat")
 	}
+	return payload, err == nil
 }
 
 func (g *Gossiper) sendPayload(to string, payload []byte) {
--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -108,7 +108,7 @@
 	// time per second.
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
 	// Crashes lists recent requests during which upstreams crashed or closed the
-	// connection.
+	// connection. An aggregator relays them in partial heartbeats.
 	Crashes []quarantiner.CrashCount `cbor:"8,keyasint,omitempty"`
 	// FencingToken is the sender's fencing token if it is the planner leader, and
 	// 0 otherwise.
@@ -127,6 +127,15 @@
 // of the sender.
 func (h *Heartbeat) IsPartial() bool { return h.UptimeSeconds < 0 }
 
+// events returns a partial heartbeat with the events of this one. It has no load
+// changes.
+func (h *Heartbeat) events() *Heartbeat {
+	partial := NewPartial()
+	partial.From, partial.Crashes = h.From, h.Crashes
+	partial.AdapterRequests, partial.Placements, partial.FeedUpdates = h.AdapterRequests, h.Placements, h.FeedUpdates
+	return &partial
+}
+
 // NewPartial returns an empty partial heartbeat.
 func NewPartial() Heartbeat { return Heartbeat{UptimeSeconds: -1} }
 
--- a/daemon/hosted/demand.go
+++ b/daemon/hosted/demand.go
@@ -87,6 +87,13 @@
 	m.peers[instance] = peerDemand{receivedAt: m.now(), demand: demand}
 }
 
+// removePeer drops the demand that a peer reported.
+func (m *demandMeter) removePeer(instance string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.peers, instance)
+}
+
 // maxPeerDemandAge is the age after which a peer's report is dropped.
 const maxPeerDemandAge = 3 * time.Second
 
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/planner"
+	"github.com/crocushollow/crocushollow/state/aggregator"
 )
 
 // signalLoadChange triggers a broadcast of the load changes without blocking.
@@ -16,12 +17,8 @@
 	}
 }
 
-const (
-	// loadBatchDelay is how long load changes are batched, and largeLoadBatchDelay
-	// in a large fleet, where each instance receives changes of many peers.
-	loadBatchDelay      = 8 * time.Millisecond
-	largeLoadBatchDelay = 25 * time.Millisecond
-)
+// loadBatchDelay is how long load changes are batched.
+const loadBatchDelay = 8 * time.Millisecond
 
 // broadcastLoadChanges sends this instance's load changes to all peers, so that
 // they do not send to an engine at the same moment.
@@ -32,11 +29,7 @@
 			return nil
 		case <-i.loadChanged:
 		}
-		pause := loadBatchDelay
-		if i.gossiper.Fleet().Size > gossiper.LargeFleetSize {
-			pause = largeLoadBatchDelay
-		}
-		time.Sleep(pause)
+		time.Sleep(loadBatchDelay)
 		changes := i.selector.LoadChanges()
 		if len(changes) == 0 {
 			continue
@@ -76,19 +69,37 @@
 		i.selector.UpdatePeerLoads(name, heartbeat.LoadChanges, now)
 	}
 	i.handleFeedUpdates(heartbeat.FeedUpdates)
+	i.quarantiner.RecordPeerCrashes(name, heartbeat.Crashes, now)
 	if heartbeat.IsPartial() {
 		return
 	}
 	i.selector.SetPeerLoads(name, heartbeat.Loads, now)
 	i.allotter.SetPeerUsage(name, heartbeat.From.Incarnation, heartbeat.Uptime(), heartbeat.WorkspaceUses, now)
 	i.demand.setPeer(name, heartbeat.Demand)
-	i.quarantiner.RecordPeerCrashes(name, heartbeat.Crashes, now)
 	i.proxy.Wake()
 }
 
-func (i *Instance) removePeer(instance string) {
-	i.selector.RemovePeer(instance)
-	i.allotter.ForgetPeer(instance)
+// handleSums applies the sums that an aggregator has computed over several
+// instances.
+func (i *Instance) handleSums(source string, sums *aggregator.Sums, uptime time.Duration) {
+	now := time.Now()
+	if sums.HasAllLoads {
+		i.selector.SetPeerLoads(source, sums.Loads, now)
+	} else {
+		i.selector.UpdatePeerLoads(source, sums.Loads, now)
+	}
+	if sums.Term != 0 {
+		i.allotter.SetAggregateUsage(source, sums.Term, uptime, sums.Uses, now)
+		i.demand.setPeer(source, sums.Demand)
+	}
+	i.proxy.Wake()
+}
+
+// removeSource removes what an instance, or the sums over several, have reported.
+func (i *Instance) removeSource(source string) {
+	i.selector.RemovePeer(source)
+	i.allotter.ForgetPeer(source)
+	i.demand.removePeer(source)
 }
 
 // requestAdapter asks the planner leader to load an adapter. The request is
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -7,7 +7,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +25,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
+	"github.com/crocushollow/crocushollow/state/resolver"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -65,6 +65,10 @@
 	maxHeaderBytes = 32 << 10
 	// maxReportedCrashes is the maximum number of crash counts in a heartbeat.
 	maxReportedCrashes = 8
+	// bufferedMemoryDivisor is the inverse of the fraction of the memory that
+	// responses may use, and defaultMemoryMB the memory if the settings give none.
+	bufferedMemoryDivisor = 8
+	defaultMemoryMB       = 256
 	// minGroupTTL is the minimum time after which a silent planner leader is
 	// replaced.
 	minGroupTTL = 1500 * time.Millisecond
@@ -192,14 +196,15 @@
 		Now:       time.Now,
 	})
 	i.gossiper = gossiper.New(gossiper.Config{
-		Self:           i.self,
-		Link:           link,
-		Registry:       platform.NewInstanceRegistry(store),
-		BuildHeartbeat: i.buildHeartbeat,
-		OnHeartbeat:    i.handleHeartbeat,
-		OnPeerRemoved:  i.removePeer,
-		Logger:         i.logger,
-		Now:            time.Now,
+		Self:            i.self,
+		Link:            link,
+		Registry:        platform.NewInstanceRegistry(store),
+		BuildHeartbeat:  i.buildHeartbeat,
+		OnHeartbeat:     i.handleHeartbeat,
+		OnSums:          i.handleSums,
+		OnSourceRemoved: i.removeSource,
+		Logger:          i.logger,
+		Now:             time.Now,
 	})
 	i.elector = elector.New(elector.Config{
 		Group:         platform.NewConsumerGroup(store, i.self.Instance),
@@ -256,10 +261,21 @@
 		AddDemand:      i.demand.add,
 		Observer:       i.reporter,
 		Now:            time.Now,
+
+		MaxBufferedBytes: i.maxBufferedBytes(),
 	})
 	i.site.onChange = i.handleSiteChange
 }
 
+// maxBufferedBytes returns the memory for responses that cannot be forwarded yet.
+func (i *Instance) maxBufferedBytes() int64 {
+	memory := i.settings.Limits.MemoryMB
+	if memory <= 0 {
+		memory = defaultMemoryMB
+	}
+	return memory << 20 / bufferedMemoryDivisor
+}
+
 // isCandidate reports whether this instance should campaign for planner leadership.
 func (i *Instance) isCandidate() bool {
 	fleet := i.gossiper.Fleet()
@@ -298,20 +314,22 @@
 const usableColdFraction = 0.8
 
 // isReady reports whether callers may use this instance.
-func (i *Instance) isReady() bool { return !i.draining.Load() && i.site.catalog() != nil }
+func (i *Instance) isReady() bool { return !i.draining.Load() && i.site.isComplete() }
 
-// resolve returns the addresses of the ready instances for callers, sorted. It
-// ignores the name that is resolved.
-func (i *Instance) resolve(string) []string {
-	var addresses []string
+// resolve returns the addresses of instances for a caller in an availability zone.
+func (i *Instance) resolve(zone string) []string {
+	var ready []resolver.Instance
 	if i.isReady() {
-		addresses = append(addresses, i.self.CallerAddress)
+		ready = append(ready, resolvable(i.self))
 	}
 	for _, peer := range i.gossiper.Fleet().Ready {
-		addresses = append(addresses, peer.CallerAddress)
+		ready = append(ready, resolvable(peer))
 	}
-	slices.Sort(addresses)
-	return addresses
+	return resolver.Resolve(ready, zone)
+}
+
+func resolvable(peer gossiper.Peer) resolver.Instance {
+	return resolver.Instance{Address: peer.CallerAddress, AvailabilityZone: peer.AvailabilityZone, Capacity: peer.Capacity}
 }
 
 // ServeCall implements platform.CallHandler.
--- a/daemon/hosted/site.go
+++ b/daemon/hosted/site.go
@@ -71,6 +71,13 @@
 
 func (t *siteTracker) catalog() *catalog.Catalog { return t.current.Load().view.Catalog }
 
+// isComplete reports whether the table and the registrations of upstreams have been
+// read.
+func (t *siteTracker) isComplete() bool {
+	view := t.current.Load().view
+	return view.Catalog != nil && !view.UpstreamsReadAt.IsZero()
+}
+
 // handleSiteChange applies the limits of a new table and rechecks the waiting
 // calls.
 func (i *Instance) handleSiteChange() {
--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -261,6 +261,24 @@
 func (a *Allotter) SetPeerUsage(instance string, incarnation crocushollow.Incarnation, uptime time.Duration, usages map[string]Usage, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	_, isKnown := a.peers[instance]
+	a.setUsage(instance, incarnation, uptime, usages, isKnown || a.isUsageUnseen(uptime, now), now)
+}
+
+// SetAggregateUsage replaces the usage of all instances that an aggregator counts
+// together. The term changes when another aggregator takes over and counts from 0
+// again. The consumption between two terms stays as estimated. uptime is the time
+// since the aggregator's start.
+func (a *Allotter) SetAggregateUsage(name string, term crocushollow.Incarnation, uptime time.Duration, usages map[string]Usage, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.setUsage(name, term, uptime, usages, false, now)
+}
+
+// setUsage replaces the usage of a peer. countsInitial says whether the consumption
+// in the first report of an incarnation is subtracted from the levels. The caller
+// must lock mu.
+func (a *Allotter) setUsage(instance string, incarnation crocushollow.Incarnation, uptime time.Duration, usages map[string]Usage, countsInitial bool, now time.Time) {
 	known, isKnown := a.peers[instance]
 	sameIncarnation := isKnown && known.incarnation == incarnation
 	wasSilent := isKnown && now.Sub(known.lastHeartbeatAt) > silenceThreshold
@@ -268,7 +286,7 @@
 	for name, usage := range usages {
 		b := a.bucket(name, now)
 		before := b.level
-		b.applyPeerUsage(instance, usage, isKnown || a.isUsageUnseen(uptime, now), sameIncarnation)
+		b.applyPeerUsage(instance, usage, countsInitial, sameIncarnation)
 		if wasSilent {
 			// Most of the peer's consumption is older than the window and no
 			// longer counts, so the peer's own estimate is used if it is higher.
@@ -280,7 +298,7 @@
 	}
 	for name, b := range a.buckets {
 		if _, reported := usages[name]; !reported && b.peers[instance] != nil {
-			b.applyPeerUsage(instance, Usage{}, isKnown, sameIncarnation)
+			b.applyPeerUsage(instance, Usage{}, countsInitial, sameIncarnation)
 		}
 	}
 }
--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -21,6 +21,12 @@
 	CacheTokens float64 `cbor:"3,keyasint,omitempty"`
 }
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(other Load) Load {
+	l.add(other, 1)
+	return l
+}
+
 // add adds other multiplied by times, which may be negative.
 func (l *Load) add(other Load, times int) {
 	l.InFlight += times * other.InFlight
