--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -79,17 +79,22 @@
 	AddDemand func(model string, milliseconds float64)
 	Observer  Observer
 	Now       func() time.Time
+	// MaxBufferedBytes bounds the memory for parts of responses that cannot be
+	// forwarded yet, over all calls together. Each call may use minBufferBytes in
+	// addition.
+	MaxBufferedBytes int64
 }
 
 // Proxy forwards calls to upstreams. It is safe for concurrent use.
 type Proxy struct {
-	config Config
-	queue  *queue
+	config   Config
+	queue    *queue
+	buffered memoryBudget
 }
 
 // New returns a proxy. Run starts its queue.
 func New(config Config) *Proxy {
-	return &Proxy{config: config, queue: newQueue(config)}
+	return &Proxy{config: config, queue: newQueue(config), buffered: memoryBudget{capacity: config.MaxBufferedBytes}}
 }
 
 // Run assigns upstreams to waiting calls until the context is canceled.
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -264,21 +264,20 @@
 var (
 	errNotRun           = errors.New("the upstream did not run the request")
 	errNotVerified      = errors.New("the response does not belong to the request or does not come from an upstream")
-	errResponseTooLarge = errors.New("the response or one of its events is too large")
+	errResponseTooLarge = errors.New("the response or one of its events is too large for the memory that is left")
+	errNoEvents         = errors.New("the stream has no events with IDs")
 )
 
-// maxBufferedBytes is the maximum size of a response that is not streamed. Such a
-// response is buffered in memory until it is complete.
-const maxBufferedBytes = 16 << 20
-
 // writeBuffered reads a whole response and sends it to the caller.
 func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	reservation.MarkFirstByte()
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errResponseTooLarge
+	buffer := newResponseBuffer(&r.proxy.buffered, maxResponseBytes)
+	defer buffer.release()
+	err := error(nil)
+	for err == nil {
+		err = buffer.read(response.Body)
 	}
-	if err != nil {
+	reservation.MarkFirstByte()
+	if !errors.Is(err, io.EOF) {
 		r.record.Cause = err
 		if ctx.Err() != nil {
 			return r.handleCancellation(ctx)
@@ -292,9 +291,9 @@
 		// A stream that has begun cannot continue with another kind of response.
 		return selector.Failed, failed
 	}
-	response.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	response.Header.Set("Content-Length", strconv.Itoa(len(buffer.bytes)))
 	r.writeHeader(response)
-	if err := r.writer.Write(body); err != nil {
+	if err := r.writer.Write(buffer.bytes); err != nil {
 		r.record.CallerLeft = true
 		return selector.Served, callerLeft
 	}
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -12,12 +12,6 @@
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
-// Initial and maximum size of the buffer for incomplete events.
-const (
-	eventBufferBytes = 4 << 10
-	maxEventBytes    = 1 << 20
-)
-
 var (
 	eventEnd          = []byte("\n\n")
 	idPrefix          = []byte("id:")
@@ -30,6 +24,8 @@
 	// lastID is the ID of the last event sent.
 	lastID string
 	events int
+	// bytesWithoutID is the number of bytes since the last event that has an ID.
+	bytesWithoutID int
 	// lastWriteAt is the time of the last write.
 	lastWriteAt time.Time
 }
@@ -51,7 +47,8 @@
 	if ctx.Err() != nil {
 		return r.handleCancellation(ctx)
 	}
-	if r.stream.events == 0 {
+	isGarbage := errors.Is(err, errResponseTooLarge) || errors.Is(err, errNoEvents)
+	if r.stream.events == 0 && !isGarbage {
 		r.proxy.config.Quarantiner.RecordCrash(r.fingerprint, r.proxy.config.Now())
 	}
 	return selector.Unreachable, r.afterFailure()
@@ -63,26 +60,19 @@
 func (e *callerError) Error() string { return "write to caller: " + e.err.Error() }
 
 func (r *run) copyEvents(reservation *selector.Reservation, response *Response) error {
-	buffer := make([]byte, 0, eventBufferBytes)
+	buffer := newResponseBuffer(&r.proxy.buffered, maxEventBytes)
+	defer buffer.release()
 	for {
-		if len(buffer) == cap(buffer) {
-			if cap(buffer) >= maxEventBytes {
-				return errResponseTooLarge
-			}
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
-		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		end := bytes.LastIndex(buffer, eventEnd)
-		if end >= 0 {
+		err := buffer.read(response.Body)
+		if end := bytes.LastIndex(buffer.bytes, eventEnd); end >= 0 {
 			end += len(eventEnd)
-			if err := r.writeEvents(reservation, response, buffer[:end]); err != nil {
+			if err := r.writeEvents(reservation, response, buffer.bytes[:end]); err != nil {
 				return err
 			}
-			buffer = buffer[:copy(buffer, buffer[end:])]
+			buffer.consume(end)
 		}
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(response, buffer)
+			return r.finishStream(response, buffer.bytes)
 		}
 		if err != nil {
 			return err
@@ -144,7 +134,9 @@
 			if !p.isAfterLastEvent(id) {
 				return nil, errEventOrder
 			}
-			p.lastID = id
+			p.lastID, p.bytesWithoutID = id, 0
+		} else if p.bytesWithoutID += end; p.bytesWithoutID > maxEventBytes {
+			return nil, errNoEvents
 		}
 		p.events++
 		rest = rest[end+len(eventEnd):]
