Read only the newest table after a gap

Instances that do not watch the feed, and watchers after two failed calls, now read the newest record of each key.

--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -93,6 +93,9 @@
 	callTimeoutMargin = 700 * time.Millisecond
 	// snapshotTimeout bounds the read of all pages of a snapshot.
 	snapshotTimeout = 3 * time.Second
+	// maxFollowFailures is the number of failed calls after which the operators'
+	// table is read anew, and not each version of it since the last call.
+	maxFollowFailures = 2
 	// minRetryDelay is the delay after the first failed call. It doubles up to
 	// maxRetryDelay, since a rejected call costs as much as a successful one.
 	minRetryDelay = 150 * time.Millisecond
@@ -158,35 +161,10 @@
 // follow reads one feed, or takes the batches that its watcher relays, until the
 // context ends.
 func (o *Observer) follow(ctx context.Context, source Source, feed Feed, wait, period time.Duration) error {
-	next := int64(-1)
-	filter := changeFilter{relayed: make(map[string]catalog.Upstream)}
-	retryDelay := minRetryDelay
+	reader := feedReader{observer: o, source: source, feed: feed, wait: wait, period: period, next: -1, retryDelay: minRetryDelay}
+	reader.filter.relayed = make(map[string]catalog.Upstream)
 	for {
-		isWatcher := o.config.IsWatcher()
-		e := event{source: source, isSnapshot: next < 0}
-		delay := period
-		isRelayed := false
-		if !isWatcher && next >= 0 {
-			e.batch, isRelayed = o.awaitRelay(ctx, source, next)
-			delay = 0
-		}
-		if !isRelayed {
-			e.batch, e.err = o.call(ctx, feed, next, wait, isWatcher)
-		}
-		e.at = o.config.Now()
-		switch {
-		case errors.Is(e.err, ErrExpired):
-			next, delay = -1, 0
-		case e.err != nil:
-			delay = retryDelay
-			retryDelay = min(2*retryDelay, maxRetryDelay)
-		default:
-			retryDelay = minRetryDelay
-			if isWatcher {
-				o.relay(source, &filter, next, e.batch)
-			}
-			next = e.batch.Next
-		}
+		e, delay := reader.read(ctx)
 		select {
 		case o.events <- e:
 		case <-ctx.Done():
@@ -198,6 +176,68 @@
 	}
 }
 
+// feedReader reads one feed.
+type feedReader struct {
+	observer *Observer
+	source   Source
+	feed     Feed
+	// wait is how long a call waits for changes, and period the interval between two
+	// calls.
+	wait, period time.Duration
+	// next is the offset of the next change, or -1 if a snapshot is needed.
+	next       int64
+	filter     changeFilter
+	retryDelay time.Duration
+	// failures counts consecutive failed calls.
+	failures int
+}
+
+// read returns the result of one call or a relayed batch, and the delay until the
+// next one.
+func (r *feedReader) read(ctx context.Context) (event, time.Duration) {
+	o := r.observer
+	isWatcher := o.config.IsWatcher()
+	if !isWatcher && r.next >= 0 {
+		if batch, isRelayed := o.awaitRelay(ctx, r.source, r.next); isRelayed {
+			r.next = batch.Next
+			return event{source: r.source, batch: batch, at: o.config.Now()}, 0
+		}
+		if r.source == Operators {
+			// The changes since the last read may be many versions of the table, of
+			// which only the newest is needed.
+			r.next = -1
+		}
+	}
+	e := event{source: r.source, isSnapshot: r.next < 0}
+	e.batch, e.err = o.call(ctx, r.feed, r.next, r.wait, isWatcher)
+	e.at = o.config.Now()
+	if e.err != nil {
+		return e, r.handleFailure(e.err)
+	}
+	if isWatcher {
+		o.relay(r.source, &r.filter, r.next, e.batch)
+	}
+	r.next, r.retryDelay, r.failures = e.batch.Next, minRetryDelay, 0
+	if isWatcher || e.isSnapshot {
+		return e, r.period
+	}
+	return e, 0
+}
+
+// handleFailure returns the delay after a failed call.
+func (r *feedReader) handleFailure(err error) time.Duration {
+	if errors.Is(err, ErrExpired) {
+		r.next = -1
+		return 0
+	}
+	if r.failures++; r.source == Operators && r.failures >= maxFollowFailures {
+		r.next = -1
+	}
+	delay := r.retryDelay
+	r.retryDelay = min(2*r.retryDelay, maxRetryDelay)
+	return delay
+}
+
 // call reads a feed once. Only watchers wait for changes.
 func (o *Observer) call(ctx context.Context, feed Feed, next int64, wait time.Duration, isWatcher bool) (Batch, error) {
 	if next < 0 {
--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -28,6 +28,8 @@
 	// first is the offset of the first change that Follow can return.
 	first         int64
 	isUnreachable bool
+	// readDelay is the time that Follow takes for each change, as on a slow link.
+	readDelay time.Duration
 }
 
 var errUnreachable = errors.New("feed unreachable")
@@ -65,6 +67,10 @@
 	case from < f.first:
 		return observer.Batch{}, observer.ErrExpired
 	}
+	if f.readDelay > 0 && int(from) < len(f.changes) {
+		time.Sleep(f.readDelay)
+		return observer.Batch{Changes: f.changes[from : from+1 : from+1], Next: from + 1}, nil
+	}
 	return observer.Batch{Changes: append([]observer.Change(nil), f.changes[from:]...), Next: int64(len(f.changes))}, nil
 }
 
@@ -228,6 +234,22 @@
 		Eventually(f.ids, "3s").Should(ConsistOf("e1"))
 	})
 
+	It("applies only the newest of many versions after an outage", func() {
+		f := start()
+		f.operators.add(version(1))
+		Eventually(f.version, "1s").Should(Equal(int64(1)))
+		f.operators.setUnreachable(true)
+		time.Sleep(time.Second)
+		for number := int64(2); number <= 40; number++ {
+			f.operators.add(version(number))
+		}
+		f.operators.mu.Lock()
+		f.operators.readDelay = 200 * time.Millisecond
+		f.operators.mu.Unlock()
+		f.operators.setUnreachable(false)
+		Eventually(f.version, "2s").Should(Equal(int64(40)))
+	})
+
 	It("removes a deregistered upstream at once while the feed responds", func() {
 		f := start()
 		f.upstreams.add(upstream("e1", 1))
@@ -267,6 +289,24 @@
 		Eventually(follower.ids, "2s").Should(ConsistOf("e2"))
 	})
 
+	It("apply only the newest of many versions that were published while they had no access", func() {
+		_, follower := startPair()
+		follower.operators.add(version(1))
+		Eventually(follower.version, "2s").Should(Equal(int64(1)))
+		follower.operators.setUnreachable(true)
+		// The reads that were begun before fail.
+		time.Sleep(1500 * time.Millisecond)
+		for number := int64(2); number <= 40; number++ {
+			follower.operators.add(version(number))
+		}
+		follower.operators.mu.Lock()
+		follower.operators.readDelay = 200 * time.Millisecond
+		follower.operators.mu.Unlock()
+		follower.operators.setUnreachable(false)
+		// Every change must be in force within 3 s of the end of an outage.
+		Eventually(follower.version, "3s").Should(Equal(int64(40)))
+	})
+
 	It("read the feeds themselves when the watcher stops relaying", func() {
 		watcher, follower := startPair()
 		follower.operators.add(version(3))
