Relay the operators' table and watch the feeds once for a large fleet

Change: the watcher relays the operators' records compressed, and the others read them only if one is too large or lost. A large fleet has one watcher; instances that find it silent read one after the other, and what the first reads is relayed. Ready instances rank first, but at the start the strongest one watches. The registry is read again after 5 minutes if rosters list the fleet.

--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -35,10 +35,11 @@
 	settleTime = 600 * time.Millisecond
 	// zoneTimeout is how long the roster of another zone is confirmed without news.
 	zoneTimeout = time.Second
-	// maxRelayed bounds the heartbeats that wait to be relayed, and
-	// maxRelayedPerDigest those in one digest, which must fit into a datagram.
-	maxRelayed          = 256
-	maxRelayedPerDigest = 32
+	// maxRelayed bounds the heartbeats that wait to be relayed, and maxRelayedBytes
+	// those in one digest, which must fit into a datagram. The digest contains more
+	// if the first of them is larger.
+	maxRelayed      = 256
+	maxRelayedBytes = 16 << 10
 )
 
 // aggregation is what the aggregator of an availability zone knows. Only the
@@ -98,11 +99,11 @@
 			a.self = next
 		}
 	}
-	if len(heartbeat.Placements) == 0 && len(heartbeat.Crashes) == 0 {
+	if len(heartbeat.Placements) == 0 && len(heartbeat.Crashes) == 0 && len(heartbeat.FeedUpdates) == 0 {
 		return
 	}
 	events := heartbeat.events()
-	events.AdapterRequests, events.FeedUpdates = nil, nil
+	events.AdapterRequests = nil
 	// A heartbeat that has been decoded can be encoded.
 	if payload, err := encoder.Encode(events); err == nil {
 		a.toMembers = relay(a.toMembers, payload)
@@ -120,7 +121,11 @@
 
 // takeRelayed removes the heartbeats that fit into one digest from a queue.
 func takeRelayed(queue *[][]byte) [][]byte {
-	n := min(len(*queue), maxRelayedPerDigest)
+	n, size := 0, 0
+	for n < len(*queue) && (n == 0 || size+len((*queue)[n]) <= maxRelayedBytes) {
+		size += len((*queue)[n])
+		n++
+	}
 	taken := (*queue)[:n:n]
 	*queue = (*queue)[n:]
 	return taken
--- a/coordination/gossiper/fleet.go
+++ b/coordination/gossiper/fleet.go
@@ -54,9 +54,13 @@
 	Size int
 	// Names lists the names of the instances that Size counts, sorted.
 	Names []string
-	// ZoneRank is the number of ready peers in this instance's availability zone
-	// that rank before it by capacity and name.
-	ZoneRank int
+	// IsAggregated means that the instances of a zone exchange heartbeats with their
+	// aggregator.
+	IsAggregated bool
+	// WatcherRank is the number of peers that rank before this instance as watcher:
+	// ready ones first, then by capacity and name. It counts the peers in the
+	// availability zone, or all of them if the fleet is aggregated.
+	WatcherRank int
 	// Rank is the number of peers in Alive that rank before this instance by
 	// capacity and name.
 	Rank int
@@ -107,7 +111,7 @@
 // summarize builds the view of the fleet from the members.
 func (g *Gossiper) summarize() *Fleet {
 	now := g.config.Now()
-	fleet := &Fleet{Names: []string{g.config.Self.Instance}}
+	fleet := &Fleet{Names: []string{g.config.Self.Instance}, IsAggregated: g.role.kind != direct}
 	var highestToken int64
 	for name, m := range g.members {
 		if m.lastHeartbeatAt.IsZero() {
@@ -124,9 +128,10 @@
 		}
 		if m.isReady {
 			fleet.Ready = append(fleet.Ready, m.peer)
-			if ranksBefore && m.peer.AvailabilityZone == g.config.Self.AvailabilityZone {
-				fleet.ZoneRank++
-			}
+		}
+		isInScope := fleet.IsAggregated || m.peer.AvailabilityZone == g.config.Self.AvailabilityZone
+		if isInScope && (m.isReady && !g.isReady || m.isReady == g.isReady && ranksBefore) {
+			fleet.WatcherRank++
 		}
 		if m.fencingToken > highestToken {
 			highestToken, fleet.PlannerAddress = m.fencingToken, m.peer.Address
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -85,6 +85,9 @@
 	// listTimeout bounds one read.
 	listPeriod  = 30 * time.Second
 	listTimeout = time.Second
+	// aggregatedListPeriod is the interval in an aggregated fleet, whose rosters list
+	// all instances.
+	aggregatedListPeriod = 5 * time.Minute
 	// listRetryDelay is the time until the next read after a failed one.
 	listRetryDelay = 500 * time.Millisecond
 )
@@ -105,8 +108,8 @@
 
 	members map[string]*member
 	role    role
-	// isDraining is set once this instance shuts down.
-	isDraining bool
+	// isReady and isDraining are the status in this instance's last heartbeat.
+	isReady, isDraining bool
 	// aggregation is nil unless this instance aggregates for its availability zone.
 	aggregation *aggregation
 }
@@ -223,6 +226,9 @@
 	isRegistered := false
 	for {
 		pause := listPeriod
+		if g.fleet.Load().IsAggregated {
+			pause = aggregatedListPeriod
+		}
 		callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 		err := error(nil)
 		if !isRegistered {
@@ -358,6 +364,7 @@
 func (g *Gossiper) buildHeartbeat() Heartbeat {
 	heartbeat := g.config.BuildHeartbeat()
 	heartbeat.From = g.config.Self
+	g.isReady, g.isDraining = heartbeat.Ready, heartbeat.Draining
 	return heartbeat
 }
 
--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -71,6 +71,19 @@
 	// Deregistrations the upstreams that are no longer registered.
 	Registrations   []UpstreamRegistration   `cbor:"4,keyasint,omitempty"`
 	Deregistrations []UpstreamDeregistration `cbor:"5,keyasint,omitempty"`
+	// Records lists the records of operators.
+	Records []FeedRecord `cbor:"6,keyasint,omitempty"`
+	// IsComplete means that the update has all changes between From and Next.
+	IsComplete bool `cbor:"7,keyasint,omitempty"`
+}
+
+// FeedRecord is a record that operators have published.
+type FeedRecord struct {
+	Offset int64  `cbor:"1,keyasint"`
+	Key    string `cbor:"2,keyasint"`
+	// CompressedValue is the value in the DEFLATE format (RFC 1951). It is empty if
+	// the record deletes the key.
+	CompressedValue []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // UpstreamRegistration is a new or changed registration of an upstream.
@@ -119,7 +132,7 @@
 	// LoadChanges is the sender's load on the upstreams where it has changed.
 	LoadChanges map[string]selector.Load `cbor:"12,keyasint,omitempty"`
 	// FeedUpdates carries changes that the sender has read from the platform's
-	// feeds. It is sent to the peers in the sender's availability zone.
+	// feeds.
 	FeedUpdates []FeedUpdate `cbor:"13,keyasint,omitempty"`
 }
 
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -1,10 +1,9 @@
 // Package observer watches the operators' table and the registrations of
 // upstreams, and maintains the current view of both.
 //
-// In each availability zone one instance is the watcher: it reads the feeds and
-// relays the changes of upstreams to the other instances of its zone. These read
-// a feed themselves when nothing is relayed in time, when relayed changes have a
-// gap, and to get the changes of operators.
+// One instance of several is the watcher: it reads the feeds and relays the changes
+// to the others. These read a feed themselves when nothing is relayed in time and
+// when relayed changes have a gap.
 package observer
 
 import (
@@ -28,6 +27,8 @@
 type Change struct {
 	// Offset orders the changes of a feed.
 	Offset int64
+	// Record is the record that a change of operators was decoded from, under Key.
+	Record []byte
 	// Catalog is a new version of the operators' table.
 	Catalog *catalog.Catalog
 	// Zone is an availability zone that was taken out of service, or put back
@@ -38,9 +39,9 @@
 	Upstream *catalog.Upstream
 	// DeregisteredUpstream is the ID of an upstream that is no longer registered.
 	DeregisteredUpstream string
-	// Err is the reason why a record could not be decoded. Key is the key of the
-	// record.
+	// Err is the reason why a record could not be decoded.
 	Err error
+	// Key is the key of the record.
 	Key string
 }
 
@@ -69,11 +70,13 @@
 	Upstreams Feed
 	// OnChange is called from the control goroutine with each new view.
 	OnChange func(*View)
-	// IsWatcher reports whether this instance reads the feeds for its
-	// availability zone. The other instances apply what the watcher relays.
+	// IsWatcher reports whether this instance reads the feeds for others. The others
+	// apply what the watcher relays.
 	IsWatcher func() bool
-	// Relay sends the changes of one call to the other instances in this
-	// instance's availability zone.
+	// ReadDelay returns by how much longer than others this instance waits for a
+	// watcher that is silent. What the first instance then reads is relayed too.
+	ReadDelay func() time.Duration
+	// Relay sends the changes of one call to the other instances.
 	Relay  func(RelayedBatch)
 	Logger zerolog.Logger
 	Now    func() time.Time
@@ -197,12 +200,16 @@
 func (r *feedReader) read(ctx context.Context) (event, time.Duration) {
 	o := r.observer
 	isWatcher := o.config.IsWatcher()
+	relays := isWatcher
 	if !isWatcher && r.next >= 0 {
-		if batch, isRelayed := o.awaitRelay(ctx, r.source, r.next); isRelayed {
+		batch, result := o.awaitRelay(ctx, r.source, r.next)
+		switch {
+		case result == relayed:
 			r.next = batch.Next
 			return event{source: r.source, batch: batch, at: o.config.Now()}, 0
-		}
-		if r.source == Operators {
+		case result == silent:
+			relays = true
+		case r.source == Operators:
 			// The changes since the last read may be many versions of the table, of
 			// which only the newest is needed.
 			r.next = -1
@@ -214,7 +221,7 @@
 	if e.err != nil {
 		return e, r.handleFailure(e.err)
 	}
-	if isWatcher {
+	if relays {
 		o.relay(r.source, &r.filter, r.next, e.batch)
 	}
 	r.next, r.retryDelay, r.failures = e.batch.Next, minRetryDelay, 0
@@ -254,17 +261,15 @@
 // relay relays the changes of a call. For a snapshot it relays only the offset at
 // which the snapshot ends.
 func (o *Observer) relay(source Source, filter *changeFilter, from int64, batch Batch) {
-	relayed := RelayedBatch{Source: source, From: from, Next: batch.Next}
-	if from < 0 {
-		relayed.From = batch.Next
-	}
+	changes := batch.Changes
 	if source == Upstreams {
-		changes := filter.apply(batch.Changes)
-		if from >= 0 {
-			relayed.Changes = changes
-		}
+		changes = filter.apply(changes)
+	}
+	message := RelayedBatch{Source: source, From: from, Next: batch.Next, Changes: changes, IsComplete: true}
+	if from < 0 {
+		message.From, message.Changes, message.IsComplete = batch.Next, nil, false
 	}
-	o.config.Relay(relayed)
+	o.config.Relay(message)
 }
 
 func (o *Observer) snapshot(ctx context.Context, feed Feed) (Batch, error) {
--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -30,11 +30,14 @@
 	isUnreachable bool
 	// readDelay is the time that Follow takes for each change, as on a slow link.
 	readDelay time.Duration
+	// calls counts the reads.
+	calls atomic.Int64
 }
 
 var errUnreachable = errors.New("feed unreachable")
 
 func (f *feed) Snapshot(context.Context) (observer.Batch, error) {
+	f.calls.Add(1)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.isUnreachable {
@@ -54,6 +57,7 @@
 }
 
 func (f *feed) Follow(ctx context.Context, from int64, _ time.Duration) (observer.Batch, error) {
+	f.calls.Add(1)
 	select {
 	case <-ctx.Done():
 		return observer.Batch{}, ctx.Err()
@@ -138,6 +142,7 @@
 		Operators: f.operators, Upstreams: f.upstreams,
 		OnChange:  func(*observer.View) {},
 		IsWatcher: func() bool { return f.isWatcher.Load() },
+		ReadDelay: func() time.Duration { return 0 },
 		Relay:     func(r observer.RelayedBatch) { f.relay(r) },
 		Logger:    zerolog.Nop(), Now: time.Now,
 	})
@@ -289,6 +294,30 @@
 		Eventually(follower.ids, "2s").Should(ConsistOf("e2"))
 	})
 
+	It("do not read what the watcher relays", func() {
+		operators, upstreams := &feed{}, &feed{}
+		follower := startAs(false, operators, upstreams, func(observer.RelayedBatch) {})
+		Eventually(func() int64 { return operators.calls.Load() + upstreams.calls.Load() }, "1s").Should(BeEquivalentTo(2))
+		for number := int64(1); number <= 20; number++ {
+			follower.observer.HandleRelayed(observer.RelayedBatch{
+				Source: observer.Operators, From: number - 1, Next: number, IsComplete: true, Changes: []observer.Change{version(number)},
+			})
+			follower.observer.HandleRelayed(observer.RelayedBatch{Source: observer.Upstreams, IsComplete: true})
+			time.Sleep(100 * time.Millisecond)
+		}
+		Expect(follower.version()).To(Equal(int64(20)))
+		Expect(operators.calls.Load() + upstreams.calls.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("relay what they read when the watcher is silent", func() {
+		batches := make(chan observer.RelayedBatch, 16)
+		follower := startAs(false, &feed{}, &feed{}, func(r observer.RelayedBatch) { batches <- r })
+		follower.upstreams.add(upstream("e1", 1))
+		Eventually(batches, "2s").Should(Receive(And(HaveField("IsComplete", true), HaveField("Source", observer.Operators))))
+		follower.operators.add(version(1))
+		Eventually(batches, "4s").Should(Receive(And(HaveField("Source", observer.Operators), HaveField("Changes", HaveLen(1)))))
+	})
+
 	It("apply only the newest of many versions that were published while they had no access", func() {
 		_, follower := startPair()
 		follower.operators.add(version(1))
--- a/coordination/observer/relay.go
+++ b/coordination/observer/relay.go
@@ -18,23 +18,36 @@
 )
 
 // RelayedBatch is the message that the watcher of a feed sends to the other
-// instances in its availability zone after each call.
+// instances after each call.
 type RelayedBatch struct {
 	Source Source
 	// From and Next are the offsets at which the call started and ended.
 	From int64
 	Next int64
-	// Changes lists the relevant changes of upstreams between the offsets.
-	// Changes of operators are not relayed: the other instances read them
-	// themselves when Next shows that there are some.
+	// Changes lists the relevant changes between the offsets.
 	Changes []Change
+	// IsComplete means that Changes has all that the other instances need. Otherwise
+	// they read the changes themselves.
+	IsComplete bool
 }
 
-// relayTimeout is how long an instance waits for its zone's watcher before it
-// reads the feed itself. Together with one call it stays below the 2 s within
-// which changes must be in force.
+// relayTimeout is how long an instance waits for the watcher before it reads the
+// feed itself. Together with one call it stays below the 2 s within which changes
+// must be in force.
 const relayTimeout = 1300 * time.Millisecond
 
+// relayResult is what an instance has received from the watcher.
+type relayResult int
+
+const (
+	// relayed means that a batch continues at the next offset.
+	relayed relayResult = iota
+	// silent means that no batch has arrived in time.
+	silent
+	// incomplete means that there are changes that the watcher has not relayed.
+	incomplete
+)
+
 // HandleRelayed queues a batch from a watcher. It drops the batch if the queue is
 // full. The next batch then shows the gap.
 func (o *Observer) HandleRelayed(relayed RelayedBatch) {
@@ -44,23 +57,21 @@
 	}
 }
 
-// awaitRelay waits for a relayed batch of a feed that continues at the next
-// offset. It reports false if the feed must be read instead: no batch arrives in
-// time, the batch leaves a gap, or operators have published changes.
-func (o *Observer) awaitRelay(ctx context.Context, source Source, next int64) (Batch, bool) {
-	timer := time.NewTimer(relayTimeout)
+// awaitRelay waits for a relayed batch of a feed that continues at the next offset.
+func (o *Observer) awaitRelay(ctx context.Context, source Source, next int64) (Batch, relayResult) {
+	timer := time.NewTimer(relayTimeout + o.config.ReadDelay())
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return Batch{}, false
+			return Batch{}, silent
 		case <-timer.C:
-			return Batch{}, false
+			return Batch{}, silent
 		case r := <-o.relayed[source]:
-			if r.From > next || source == Operators && r.Next > next {
-				return Batch{}, false
+			if r.From > next || !r.IsComplete && r.Next > next {
+				return Batch{}, incomplete
 			}
-			return Batch{Changes: r.Changes, Next: max(r.Next, next)}, true
+			return Batch{Changes: r.Changes, Next: max(r.Next, next)}, relayed
 		}
 	}
 }
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -1,55 +1,160 @@
 package hosted
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"slices"
 	"time"
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/observer"
+	"github.com/crocushollow/crocushollow/platform"
 )
 
-// isWatcher reports whether this instance reads the platform's feeds for its
-// availability zone. Each zone has one watcher. The other instances read the feeds
-// themselves when the watcher relays nothing in time.
+const (
+	// maxRelayedChanges is the number of changes in one message, which must fit into
+	// a datagram.
+	maxRelayedChanges = 24
+	// maxRelayedRecordBytes is the compressed size up to which a record of operators
+	// is relayed. The other instances read larger ones from the store.
+	maxRelayedRecordBytes = 24 << 10
+	// maxRecordBytes bounds a record after decompression.
+	maxRecordBytes = 16 << 20
+	// readDelayStep and maxReadDelay spread the instances that read a feed because
+	// its watcher is silent. What the first of them reads is relayed to the others.
+	readDelayStep = 50 * time.Millisecond
+	maxReadDelay  = 500 * time.Millisecond
+)
+
+// isWatcher reports whether this instance reads the platform's feeds for others: for
+// its availability zone, or for the whole fleet if that is aggregated. The other
+// instances read the feeds themselves when the watcher relays nothing in time.
 func (i *Instance) isWatcher() bool {
-	return !i.draining.Load() && i.gossiper.Fleet().ZoneRank == 0
+	return !i.draining.Load() && i.gossiper.Fleet().WatcherRank == 0
 }
 
-// relayToZone sends the changes that a feed returned to the other instances in
-// this availability zone. Clocks of instances differ, so the end of a cold start is
-// sent as the remaining time.
-func (i *Instance) relayToZone(batch observer.RelayedBatch) {
-	update := gossiper.FeedUpdate{Source: string(batch.Source), From: batch.From, Next: batch.Next}
-	now := time.Now()
-	for _, change := range batch.Changes {
-		if change.DeregisteredUpstream != "" {
-			update.Deregistrations = append(update.Deregistrations, gossiper.UpstreamDeregistration{Offset: change.Offset, ID: change.DeregisteredUpstream})
-			continue
+// readDelay returns by how much longer this instance waits for a silent watcher.
+func (i *Instance) readDelay() time.Duration {
+	fleet := i.gossiper.Fleet()
+	if !fleet.IsAggregated {
+		return 0
+	}
+	return min(time.Duration(fleet.WatcherRank-1)*readDelayStep, maxReadDelay)
+}
+
+// relayBatch sends the changes that a feed returned to the other instances.
+func (i *Instance) relayBatch(batch observer.RelayedBatch) {
+	broadcast := i.gossiper.BroadcastToZone
+	if i.gossiper.Fleet().IsAggregated {
+		broadcast = i.gossiper.Broadcast
+	}
+	for _, update := range feedUpdates(batch, time.Now()) {
+		heartbeat := gossiper.NewPartial()
+		heartbeat.FeedUpdates = []gossiper.FeedUpdate{update}
+		broadcast(heartbeat)
+	}
+}
+
+// feedUpdates splits a batch into messages that continue each other.
+func feedUpdates(batch observer.RelayedBatch, now time.Time) []gossiper.FeedUpdate {
+	var updates []gossiper.FeedUpdate
+	from := batch.From
+	for changes := range slices.Chunk(batch.Changes, maxRelayedChanges) {
+		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, IsComplete: batch.IsComplete}
+		for i := range changes {
+			update.IsComplete = addChange(&update, &changes[i], now) && update.IsComplete
+		}
+		update.Next = changes[len(changes)-1].Offset + 1
+		from = update.Next
+		updates = append(updates, update)
+	}
+	if len(updates) == 0 {
+		return []gossiper.FeedUpdate{{Source: string(batch.Source), From: from, Next: batch.Next, IsComplete: batch.IsComplete}}
+	}
+	updates[len(updates)-1].Next = batch.Next
+	return updates
+}
+
+// addChange adds a change to a message. It returns false if the change is too large.
+// Clocks of instances differ, so the end of a cold start is sent as the remaining
+// time.
+func addChange(update *gossiper.FeedUpdate, change *observer.Change, now time.Time) bool {
+	switch {
+	case update.Source == string(observer.Operators):
+		compressed := compress(change.Record)
+		if len(compressed) > maxRelayedRecordBytes {
+			return false
 		}
+		update.Records = append(update.Records, gossiper.FeedRecord{Offset: change.Offset, Key: change.Key, CompressedValue: compressed})
+	case change.DeregisteredUpstream != "":
+		update.Deregistrations = append(update.Deregistrations, gossiper.UpstreamDeregistration{Offset: change.Offset, ID: change.DeregisteredUpstream})
+	case change.Upstream != nil:
 		registration := gossiper.UpstreamRegistration{Offset: change.Offset, Upstream: *change.Upstream}
 		registration.ColdRemaining = max(change.Upstream.ColdUntil.Sub(now), 0)
 		registration.Upstream.ColdUntil = time.Time{}
 		update.Registrations = append(update.Registrations, registration)
 	}
-	heartbeat := gossiper.NewPartial()
-	heartbeat.FeedUpdates = []gossiper.FeedUpdate{update}
-	i.gossiper.BroadcastToZone(heartbeat)
+	return true
 }
 
 // handleFeedUpdates passes the changes that a watcher relayed to the observer.
 func (i *Instance) handleFeedUpdates(updates []gossiper.FeedUpdate) {
 	now := time.Now()
-	for _, update := range updates {
-		batch := observer.RelayedBatch{Source: observer.Source(update.Source), From: update.From, Next: update.Next}
-		for _, deregistration := range update.Deregistrations {
-			batch.Changes = append(batch.Changes, observer.Change{Offset: deregistration.Offset, DeregisteredUpstream: deregistration.ID})
-		}
-		for _, registration := range update.Registrations {
-			upstream := registration.Upstream
-			if registration.ColdRemaining > 0 {
-				upstream.ColdUntil = now.Add(registration.ColdRemaining)
-			}
-			batch.Changes = append(batch.Changes, observer.Change{Offset: registration.Offset, Upstream: &upstream})
+	for u := range updates {
+		batch, err := relayedBatch(&updates[u], now)
+		if err != nil {
+			i.logger.Warn().Err(err).Str("feed", updates[u].Source).Msg("relayed record discarded")
 		}
 		i.observer.HandleRelayed(batch)
 	}
 }
+
+// relayedBatch returns the batch that a message carries. If a record cannot be
+// decompressed, the batch is incomplete, so that the instance reads the feed itself.
+func relayedBatch(update *gossiper.FeedUpdate, now time.Time) (observer.RelayedBatch, error) {
+	batch := observer.RelayedBatch{
+		Source: observer.Source(update.Source), From: update.From, Next: update.Next, IsComplete: update.IsComplete,
+	}
+	for _, record := range update.Records {
+		value, err := decompress(record.CompressedValue)
+		if err != nil {
+			batch.Changes, batch.IsComplete = nil, false
+			return batch, err
+		}
+		if change, known := platform.DecodeOperatorChange(record.Offset, record.Key, value); known {
+			batch.Changes = append(batch.Changes, change)
+		}
+	}
+	for _, deregistration := range update.Deregistrations {
+		batch.Changes = append(batch.Changes, observer.Change{Offset: deregistration.Offset, DeregisteredUpstream: deregistration.ID})
+	}
+	for _, registration := range update.Registrations {
+		upstream := registration.Upstream
+		if registration.ColdRemaining > 0 {
+			upstream.ColdUntil = now.Add(registration.ColdRemaining)
+		}
+		batch.Changes = append(batch.Changes, observer.Change{Offset: registration.Offset, Upstream: &upstream})
+	}
+	return batch, nil
+}
+
+// compress returns the data in the DEFLATE format, or nil if there is none.
+func compress(data []byte) []byte {
+	if data == nil {
+		return nil
+	}
+	var compressed bytes.Buffer
+	// The level is valid, and a write to a buffer does not fail.
+	writer, _ := flate.NewWriter(&compressed, flate.BestSpeed)
+	_, _ = writer.Write(data)
+	_ = writer.Close()
+	return compressed.Bytes()
+}
+
+func decompress(compressed []byte) ([]byte, error) {
+	if len(compressed) == 0 {
+		return nil, nil
+	}
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxRecordBytes))
+}
--- /dev/null
+++ b/daemon/hosted/feeds_test.go
@@ -0,0 +1,119 @@
+package hosted
+
+import (
+	"bytes"
+	"crypto/rand"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/coordination/gossiper"
+	"github.com/crocushollow/crocushollow/coordination/observer"
+	"github.com/crocushollow/crocushollow/state/encoder"
+)
+
+// maxDatagramBytes is the largest payload of a UDP datagram.
+const maxDatagramBytes = 65507
+
+// receive encodes and decodes messages as between two instances.
+func receive(t *testing.T, updates []gossiper.FeedUpdate, now time.Time) []observer.RelayedBatch {
+	t.Helper()
+	var batches []observer.RelayedBatch
+	for _, update := range updates {
+		payload, err := encoder.Encode(&update)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(payload) > maxDatagramBytes {
+			t.Errorf("message of %d bytes does not fit into a datagram", len(payload))
+		}
+		var received gossiper.FeedUpdate
+		if err := encoder.Decode(payload, &received); err != nil {
+			t.Fatal(err)
+		}
+		batch, err := relayedBatch(&received, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		batches = append(batches, batch)
+	}
+	return batches
+}
+
+// A batch with a change of every engine of a large site must be relayed in several
+// messages, each of which continues at the end of the one before.
+func TestFeedUpdatesContinueEachOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	batch := observer.RelayedBatch{Source: observer.Upstreams, From: 100, Next: 400, IsComplete: true}
+	for i := range int64(122) {
+		change := observer.Change{Offset: 110 + 2*i, DeregisteredUpstream: fmt.Sprint("gone-", i)}
+		if i%3 != 0 {
+			change.DeregisteredUpstream = ""
+			change.Upstream = &catalog.Upstream{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1", ColdUntil: now.Add(time.Second)}
+		}
+		batch.Changes = append(batch.Changes, change)
+	}
+	next, count := batch.From, 0
+	for _, received := range receive(t, feedUpdates(batch, now), now.Add(time.Hour)) {
+		if received.From != next || !received.IsComplete {
+			t.Fatalf("message from %d, complete %v, after %d", received.From, received.IsComplete, next)
+		}
+		next = received.Next
+		count += len(received.Changes)
+		for _, change := range received.Changes {
+			if change.Upstream != nil && !change.Upstream.ColdUntil.Equal(now.Add(time.Hour+time.Second)) {
+				t.Errorf("cold until %v", change.Upstream.ColdUntil)
+			}
+		}
+	}
+	if next != batch.Next || count != len(batch.Changes) {
+		t.Errorf("%d changes up to %d", count, next)
+	}
+}
+
+func TestFeedUpdatesCarryTheTable(t *testing.T) {
+	record := []byte(`{"version":7,"routes":[],"services":[]}`)
+	batch := observer.RelayedBatch{Source: observer.Operators, From: 4, Next: 6, IsComplete: true, Changes: []observer.Change{
+		{Offset: 4, Key: "config", Record: record},
+		{Offset: 5, Key: "evacuate/za", Record: []byte("{}")},
+	}}
+	received := receive(t, feedUpdates(batch, time.Now()), time.Now())
+	if len(received) != 1 || !received[0].IsComplete || received[0].From != 4 || received[0].Next != 6 {
+		t.Fatalf("received %+v", received)
+	}
+	changes := received[0].Changes
+	if len(changes) != 2 || changes[0].Catalog == nil || changes[0].Catalog.Version() != 7 || changes[1].Zone != "za" || changes[1].InService {
+		t.Errorf("changes %+v", changes)
+	}
+	if !bytes.Equal(changes[0].Record, record) {
+		t.Errorf("record %q", changes[0].Record)
+	}
+}
+
+// A table that does not fit into a message is only announced.
+func TestFeedUpdatesLeaveOutLargeRecords(t *testing.T) {
+	record := make([]byte, 2*maxRelayedRecordBytes)
+	_, _ = rand.Read(record)
+	batch := observer.RelayedBatch{
+		Source: observer.Operators, From: 4, Next: 5, IsComplete: true,
+		Changes: []observer.Change{{Offset: 4, Key: "config", Record: record}},
+	}
+	received := receive(t, feedUpdates(batch, time.Now()), time.Now())
+	want := []observer.RelayedBatch{{Source: observer.Operators, From: 4, Next: 5}}
+	if !reflect.DeepEqual(received, want) {
+		t.Errorf("received %+v", received)
+	}
+}
+
+func TestDamagedRecordMakesTheBatchIncomplete(t *testing.T) {
+	update := gossiper.FeedUpdate{
+		Source: string(observer.Operators), From: 4, Next: 5, IsComplete: true,
+		Records: []gossiper.FeedRecord{{Offset: 4, Key: "config", CompressedValue: []byte("no deflate stream")}},
+	}
+	batch, err := relayedBatch(&update, time.Now())
+	if err == nil || batch.IsComplete || batch.Changes != nil {
+		t.Errorf("batch %+v, error %v", batch, err)
+	}
+}
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -191,7 +191,8 @@
 		Upstreams: platform.NewUpstreamFeed(store, time.Now),
 		OnChange:  i.site.setView,
 		IsWatcher: i.isWatcher,
-		Relay:     i.relayToZone,
+		ReadDelay: i.readDelay,
+		Relay:     i.relayBatch,
 		Logger:    i.logger,
 		Now:       time.Now,
 	})
