Admit several requests of a workspace at one instance between two reports

Change: while the free part of the limit covers four times the fleet's demand until the reports arrive, an instance may use an eighth of it.

--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -64,6 +64,13 @@
 	// allowed excess in a window, below which a sudden increase cannot exceed
 	// the bound.
 	harmlessDemandFraction = 0.9
+	// calmSurgeFactor is the factor by which the demand of all instances may grow
+	// until their reports show it, while the free part of the limit covers it.
+	// reportDelaySeconds is the time in seconds until the reports arrive.
+	// calmFraction is the part of the free tokens that one instance may use then.
+	calmSurgeFactor    = 4.0
+	reportDelaySeconds = 0.6
+	calmFraction       = 1.0 / 8
 	// surgeSeconds is the time in seconds for which an instance may use its share
 	// of the refill in advance while demand exceeds the rate.
 	surgeSeconds = 0.4
@@ -142,6 +149,11 @@
 		return false
 	}
 	free := b.level + b.unreported + b.overflow + a.reserve(b)
+	if b.totalDemand()*calmSurgeFactor*reportDelaySeconds <= free && b.unreported+cost <= calmFraction*free {
+		// Several requests that arrive at one instance between two reports say
+		// nothing about the fleet's demand.
+		return true
+	}
 	if b.unreported == 0 && cost <= singleRequestFraction*free {
 		return true
 	}
--- a/state/allotter/allotter_test.go
+++ b/state/allotter/allotter_test.go
@@ -46,6 +46,8 @@
 	// isPartitioned reports which side of a network partition an instance is on.
 	// The two sides receive no heartbeats from each other.
 	isPartitioned func(instance int) bool
+	// arrivesAtRandom distributes requests at random and not in turn.
+	arrivesAtRandom bool
 }
 
 type grant struct {
@@ -103,6 +105,9 @@
 		}
 		for due += perSecond * step.Seconds(); due >= cost; due -= cost {
 			i := pick(len(f.instances), int(requested/cost), weights)
+			if f.arrivesAtRandom {
+				i = int(f.random() * float64(len(f.instances)))
+			}
 			requested += cost
 			if ok, _ := f.instances[i].Take(workspace, cost, f.now); ok {
 				granted += cost
@@ -242,6 +247,22 @@
 		Expect(granted).To(Equal(requested))
 	})
 
+	It("refuses no usual demand that arrives at random instances of a large fleet", func() {
+		f := newFleet(195)
+		f.arrivesAtRandom = true
+		// Two requests often arrive at the same instance between two heartbeats.
+		granted, requested := f.send(20*time.Second, 0.5*workspace.Rate)
+		Expect(granted).To(BeNumerically(">=", 0.999*requested))
+	})
+
+	It("stays within the bound when a large fleet gets twelve times the usual demand at once", func() {
+		f := newFleet(195)
+		f.arrivesAtRandom = true
+		f.send(12*time.Second, 0.5*workspace.Rate)
+		f.send(12*time.Second, 6*workspace.Rate)
+		Expect(f.maxWindowUsage()).To(BeNumerically("<=", bound()))
+	})
+
 	It("grants most of the limit to a small workspace that sends four times its limit in a large fleet", func() {
 		useSmallWorkspace()
 		f := newFleet(76)
