Ignore relayed changes that have been applied

Seen by a new test: a watcher that was suspended and relays what it read before takes an availability zone out of service again that has been put back. Also a test that a stream of bytes without an event ends at the route's timeout, which held.

--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -299,8 +299,10 @@
 		follower := startAs(false, operators, upstreams, func(observer.RelayedBatch) {})
 		Eventually(func() int64 { return operators.calls.Load() + upstreams.calls.Load() }, "1s").Should(BeEquivalentTo(2))
 		for number := int64(1); number <= 20; number++ {
+			change := version(number)
+			change.Offset = number - 1
 			follower.observer.HandleRelayed(observer.RelayedBatch{
-				Source: observer.Operators, From: number - 1, Next: number, IsComplete: true, Changes: []observer.Change{version(number)},
+				Source: observer.Operators, From: number - 1, Next: number, IsComplete: true, Changes: []observer.Change{change},
 			})
 			follower.observer.HandleRelayed(observer.RelayedBatch{Source: observer.Upstreams, IsComplete: true})
 			time.Sleep(100 * time.Millisecond)
@@ -309,6 +311,28 @@
 		Expect(operators.calls.Load() + upstreams.calls.Load()).To(BeEquivalentTo(2))
 	})
 
+	It("ignore old changes that a watcher relays late", func() {
+		follower := startAs(false, &feed{}, &feed{}, func(observer.RelayedBatch) {})
+		Eventually(func() int64 { return follower.operators.calls.Load() }, "1s").Should(BeEquivalentTo(1))
+		out, in := observer.Change{Zone: "za", Offset: 0}, observer.Change{Zone: "za", InService: true, Offset: 1}
+		relay := func(from, next int64, changes ...observer.Change) {
+			follower.observer.HandleRelayed(observer.RelayedBatch{
+				Source: observer.Operators, From: from, Next: next, IsComplete: true, Changes: changes,
+			})
+		}
+		isOut := func() bool { return follower.observer.View().ZonesOutOfService["za"] }
+		relay(0, 1, out)
+		Eventually(isOut, "1s").Should(BeTrue())
+		relay(1, 2, in)
+		Eventually(isOut, "1s").Should(BeFalse())
+		// The watcher was suspended, and another one has relayed the changes since.
+		relay(0, 1, out)
+		Consistently(isOut, "500ms").Should(BeFalse())
+		relay(0, 3, out, in, observer.Change{Zone: "zb", Offset: 2})
+		Eventually(func() bool { return follower.observer.View().ZonesOutOfService["zb"] }, "1s").Should(BeTrue())
+		Expect(isOut()).To(BeFalse())
+	})
+
 	It("relay what they read when the watcher is silent", func() {
 		batches := make(chan observer.RelayedBatch, 16)
 		follower := startAs(false, &feed{}, &feed{}, func(r observer.RelayedBatch) { batches <- r })
--- a/coordination/observer/relay.go
+++ b/coordination/observer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/crocushollow/crocushollow/catalog"
@@ -71,7 +72,9 @@
 			if r.From > next || !r.IsComplete && r.Next > next {
 				return Batch{}, incomplete
 			}
-			return Batch{Changes: r.Changes, Next: max(r.Next, next)}, relayed
+			// A watcher that was suspended may relay changes that have been applied.
+			changes := slices.DeleteFunc(r.Changes, func(change Change) bool { return change.Offset < next })
+			return Batch{Changes: changes, Next: max(r.Next, next)}, relayed
 		}
 	}
 }
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -42,6 +42,8 @@
 		response.Body = io.NopCloser(strings.NewReader(soundBody(attempt.Call.Path)))
 	case "slow":
 		response.Body = &slowStream{ctx: ctx, event: "id: %d\ndata: x\n\n", count: 12}
+	case "trickle":
+		response.Body = &slowStream{ctx: ctx, event: ": %d ", count: 1000}
 	case "empty events":
 		response.Body = &endlessBody{ctx: ctx, sender: s, text: strings.Repeat("data: x\n\n", 1024)}
 	default:
@@ -239,6 +241,14 @@
 		Expect(serve(p, "/plain/a", "").body.String()).To(Equal("complete"))
 	})
 
+	It("are cut off at the route's timeout if they trickle bytes without an event", func() {
+		p := startProxy(&faultySender{})
+		startedAt := time.Now()
+		writer := serve(p, "/stream/a", "trickle")
+		Expect(writer.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(time.Since(startedAt)).To(BeNumerically("~", 3*time.Second, 500*time.Millisecond))
+	})
+
 	It("do not shorten a sound stream that is slow", func() {
 		p := startProxy(&faultySender{})
 		writer := serve(p, "/stream/a", "slow")
