Pause the prefill of an engine before events of its streams are late

The pauses cluster at 190, 350 and 530 ms: an event has three tokens, and between two tokens the engine prefills up to some 4,000 tokens of waiting prompts. With prompts arriving without a pause every event is late.

Change: prompts are admitted to an engine for at most 340 ms of prefill in a row, then not until none waits, or for 700 ms if one is stuck.

--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -25,6 +25,13 @@
 	// prefill delays the streams that run there, whose events may be at most
 	// 400 ms apart.
 	maxWaitingTokens = 5000.0
+	// maxPrefillBurst is how long an engine may prefill prompts without a pause. It
+	// prefills between the tokens of the streams that run there, and an event has
+	// several tokens, so that without a pause events are further apart than 400 ms.
+	maxPrefillBurst = 340 * time.Millisecond
+	// prefillTimeout is the time after which prompts that still wait no longer count
+	// as a burst: their requests are stuck.
+	prefillTimeout = 700 * time.Millisecond
 	// runningRequestCostMillis is the latency that each running request adds on an
 	// engine.
 	runningRequestCostMillis = 1.2
@@ -141,7 +148,10 @@
 	ownLoad Load
 	// peerLoad is the total load of all peers.
 	peerLoad Load
-	health   health
+	// prefillingSince is the time since which prompts have been waiting at the
+	// engine without a pause. It is zero if none waits.
+	prefillingSince time.Time
+	health          health
 	// coldSends holds the times of recent requests, for the cold start limit.
 	coldSends      []time.Time
 	cachedPrefixes prefixCache
@@ -241,7 +251,7 @@
 	if c.health.inBackoff(now) || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
-	if !c.hasCapacity(request, service) {
+	if !c.hasCapacity(request, service, now) {
 		return Busy
 	}
 	return Chosen
@@ -249,7 +259,7 @@
 
 // hasCapacity reports whether the upstream can start the request without queueing
 // it.
-func (c *candidate) hasCapacity(request *Request, service *catalog.Service) bool {
+func (c *candidate) hasCapacity(request *Request, service *catalog.Service, now time.Time) bool {
 	inFlight := c.ownLoad.InFlight + c.peerLoad.InFlight
 	if request.Model == "" {
 		return inFlight < c.upstream.Slots
@@ -258,7 +268,7 @@
 		return false
 	}
 	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	if waiting > 0 && waiting+c.uncachedTokens(request) > maxWaitingTokens {
+	if waiting > 0 && (waiting+c.uncachedTokens(request) > maxWaitingTokens || c.exceedsPrefillBurst(waiting+c.uncachedTokens(request), now)) {
 		return false
 	}
 	if service != nil && service.Engine != nil && inFlight > 0 {
@@ -268,6 +278,26 @@
 	return true
 }
 
+// exceedsPrefillBurst reports whether an engine that prefills a number of waiting
+// tokens would do so for longer than maxPrefillBurst without a pause.
+func (c *candidate) exceedsPrefillBurst(tokens float64, now time.Time) bool {
+	elapsed := now.Sub(c.prefillingSince)
+	if c.prefillingSince.IsZero() || elapsed > prefillTimeout {
+		return false
+	}
+	return elapsed+time.Duration(tokens/prefillTokensPerMilli*float64(time.Millisecond)) > maxPrefillBurst
+}
+
+// updatePrefilling updates the start of the prefill after the load has changed.
+func (c *candidate) updatePrefilling(now time.Time) {
+	switch isWaiting := c.ownLoad.WaitingTokens+c.peerLoad.WaitingTokens >= 1; {
+	case !isWaiting:
+		c.prefillingSince = time.Time{}
+	case c.prefillingSince.IsZero():
+		c.prefillingSince = now
+	}
+}
+
 // uncachedTokens returns the number of prompt tokens that are not in the engine's
 // KV cache.
 func (c *candidate) uncachedTokens(request *Request) float64 {
