--- a/coordination/gossiper/fleet.go
+++ b/coordination/gossiper/fleet.go
@@ -57,6 +57,8 @@
 	// IsAggregated means that the instances of a zone exchange heartbeats with their
 	// aggregator.
 	IsAggregated bool
+	// IsAggregator means that this instance is the aggregator of its zone.
+	IsAggregator bool
 	// WatcherRank is the number of peers that rank before this instance as watcher:
 	// ready ones first, then by capacity and name. It counts the peers in the
 	// availability zone, or all of them if the fleet is aggregated.
@@ -111,7 +113,7 @@
 // summarize builds the view of the fleet from the members.
 func (g *Gossiper) summarize() *Fleet {
 	now := g.config.Now()
-	fleet := &Fleet{Names: []string{g.config.Self.Instance}, IsAggregated: g.role.kind != direct}
+	fleet := &Fleet{Names: []string{g.config.Self.Instance}, IsAggregated: g.role.kind != direct, IsAggregator: g.role.kind == aggregating}
 	var highestToken int64
 	for name, m := range g.members {
 		if m.lastHeartbeatAt.IsZero() {
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -165,7 +165,13 @@
 		"crocushollow_upstreams_age_seconds": func() float64 {
 			return time.Since(i.site.current.Load().view.UpstreamsReadAt).Seconds()
 		},
-		"crocushollow_ready_peers":    func() float64 { return float64(len(i.gossiper.Fleet().Ready)) },
+		"crocushollow_ready_peers": func() float64 { return float64(len(i.gossiper.Fleet().Ready)) },
+		"crocushollow_is_aggregator": func() float64 {
+			if i.gossiper.Fleet().IsAggregator {
+				return 1
+			}
+			return 0
+		},
 		"crocushollow_planning_fence": func() float64 { return float64(i.elector.LeaderToken()) },
 	}
 	for name, read := range gauges {
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -25,10 +25,12 @@
 	// prefill delays the streams that run there, whose events may be at most
 	// 400 ms apart.
 	maxWaitingTokens = 5000.0
-	// maxPrefillBurst is how long an engine may prefill prompts without a pause. It
+	// maxPrefillBurst is how long an engine should prefill prompts without a pause. It
 	// prefills between the tokens of the streams that run there, and an event has
 	// several tokens, so that without a pause events are further apart than 400 ms.
-	maxPrefillBurst = 340 * time.Millisecond
+	// prefillBurstCostMillis is the cost of a request that extends a longer burst.
+	maxPrefillBurst        = 340 * time.Millisecond
+	prefillBurstCostMillis = 150.0
 	// prefillTimeout is the time after which prompts that still wait no longer count
 	// as a burst: their requests are stuck.
 	prefillTimeout = 700 * time.Millisecond
@@ -251,7 +253,7 @@
 	if c.health.inBackoff(now) || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
-	if !c.hasCapacity(request, service, now) {
+	if !c.hasCapacity(request, service) {
 		return Busy
 	}
 	return Chosen
@@ -259,7 +261,7 @@
 
 // hasCapacity reports whether the upstream can start the request without queueing
 // it.
-func (c *candidate) hasCapacity(request *Request, service *catalog.Service, now time.Time) bool {
+func (c *candidate) hasCapacity(request *Request, service *catalog.Service) bool {
 	inFlight := c.ownLoad.InFlight + c.peerLoad.InFlight
 	if request.Model == "" {
 		return inFlight < c.upstream.Slots
@@ -268,7 +270,7 @@
 		return false
 	}
 	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	if waiting > 0 && (waiting+c.uncachedTokens(request) > maxWaitingTokens || c.exceedsPrefillBurst(waiting+c.uncachedTokens(request), now)) {
+	if waiting > 0 && waiting+c.uncachedTokens(request) > maxWaitingTokens {
 		return false
 	}
 	if service != nil && service.Engine != nil && inFlight > 0 {
@@ -316,7 +318,11 @@
 		return cost + inFlight*plainRequestCostMillis/float64(max(c.upstream.Slots, 1)) + tieBreakMillis(c.hash, 0)
 	}
 	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	cost += (waiting + c.uncachedTokens(request)) / prefillTokensPerMilli
+	tokens := waiting + c.uncachedTokens(request)
+	cost += tokens / prefillTokensPerMilli
+	if c.exceedsPrefillBurst(tokens, now) {
+		cost += prefillBurstCostMillis
+	}
 	cost += inFlight * runningRequestCostMillis
 	return cost + tieBreakMillis(c.hash, affinityHash(request))
 }
