--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -75,6 +75,13 @@
 	}
 }
 
+// fullRosterRound returns the round in which the roster is sent in full. It differs
+// between zones, since the rosters of all zones of a large fleet do not fit into one
+// datagram.
+func (z *zoneState) fullRosterRound() int {
+	return int(xxhash.Sum64String(z.roster.AvailabilityZone) % fullRosterRounds)
+}
+
 func newAggregation(self Peer, now time.Time) *aggregation {
 	return &aggregation{
 		self: PeerStatus{Peer: self}, since: now,
@@ -191,7 +198,7 @@
 func (a *aggregation) listing(zone *zoneState, now time.Time) (Roster, bool) {
 	isFresh := zone.roster.Version != 0 && now.Sub(zone.heardAt) <= zoneTimeout
 	switch {
-	case isFresh && (zone.repeats > 0 || a.isDue(fullRosterRounds)):
+	case isFresh && (zone.repeats > 0 || a.round%fullRosterRounds == zone.fullRosterRound()):
 		return zone.roster, true
 	case isFresh && a.isDue(rosterRounds):
 		confirmed := zone.roster
