Send the loads of thousands of upstreams in parts

Sums of another term replace earlier ones. The model test covers lost and repeated messages of this kind; a new test bounds the size of a message.

--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -18,14 +18,14 @@
 	// digestPeriod is the interval between two rounds of digests. A round without
 	// news sends none.
 	digestPeriod = 25 * time.Millisecond
-	// keepAliveRounds, usageRounds, rosterRounds, loadRounds and fullRosterRounds are
-	// the numbers of rounds after which a digest is sent in any case, contains the
-	// use of limits, confirms the rosters, contains all loads, and contains the
-	// rosters themselves.
+	// keepAliveRounds, usageRounds, rosterRounds and fullRosterRounds are the numbers
+	// of rounds after which a digest is sent in any case, contains the use of limits,
+	// confirms the rosters, and contains the rosters themselves. Within loadRounds
+	// each load is sent.
 	keepAliveRounds  = 8
 	usageRounds      = 10
 	rosterRounds     = 20
-	loadRounds       = 20
+	loadRounds       = 40
 	fullRosterRounds = 80
 	// rosterRepeats is the number of rounds in which a changed roster is sent, since
 	// datagrams may be lost.
@@ -161,6 +161,9 @@
 		a.isRosterStale = false
 		a.own.setRoster(g.zoneRoster(now))
 	}
+	if a.isSettled(now) {
+		a.sums.BeginRound(a.round, loadRounds)
+	}
 	digest := Digest{From: g.config.Self, UptimeSeconds: int64(now.Sub(g.startedAt) / time.Second)}
 	g.sendZoneDigest(digest, now)
 	g.sendMemberDigests(digest, now)
@@ -210,7 +213,7 @@
 
 // selection returns the sums that are due in this round.
 func (a *aggregation) selection() aggregator.Selection {
-	return aggregator.Selection{AllLoads: a.isDue(loadRounds), Uses: a.isDue(usageRounds)}
+	return aggregator.Selection{Uses: a.isDue(usageRounds)}
 }
 
 // sendZoneDigest sends a digest about this zone to the aggregator of each other
@@ -224,7 +227,7 @@
 	digest.Relayed = takeRelayed(&a.toZones)
 	selection := a.selection()
 	selection.Demand = selection.Uses
-	if a.isSettled(now) && (a.sums.HasZoneChanges() || selection != aggregator.Selection{}) {
+	if a.isSettled(now) && (a.sums.HasZoneLoads() || selection != aggregator.Selection{}) {
 		sums := a.sums.ZoneSums(selection)
 		digest.Sums = &sums
 	}
@@ -275,7 +278,7 @@
 	}
 	digest.Relayed = takeRelayed(&a.toMembers)
 	selection := a.selection()
-	hasSums := a.isSettled(now) && (a.sums.HasChanges() || selection != aggregator.Selection{})
+	hasSums := a.isSettled(now) && (a.sums.HasLoads() || selection != aggregator.Selection{})
 	if digest.isEmpty() && !hasSums && !a.isDue(keepAliveRounds) {
 		return
 	}
@@ -328,7 +331,9 @@
 		return hasChanged
 	}
 	if digest.Sums != nil {
-		g.config.OnSums(fleetSource, digest.Sums, time.Duration(digest.UptimeSeconds)*time.Second)
+		g.deliverSums(SumsUpdate{
+			Source: fleetSource, Sums: *digest.Sums, Uptime: time.Duration(digest.UptimeSeconds) * time.Second,
+		})
 	}
 	for _, payload := range digest.Relayed {
 		g.handleRelayed(payload)
@@ -369,7 +374,7 @@
 	}
 	if digest.Sums != nil {
 		a.sums.SetZone(zoneName, digest.Sums, now)
-		g.config.OnSums(zoneSourcePrefix+zoneName, digest.Sums, 0)
+		g.deliverSums(SumsUpdate{Source: zoneSourcePrefix + zoneName, Sums: *digest.Sums})
 	}
 	for _, payload := range digest.Relayed {
 		g.handleRelayed(payload)
@@ -378,6 +383,13 @@
 	return hasChanged
 }
 
+// deliverSums passes sums to OnSums.
+func (g *Gossiper) deliverSums(update SumsUpdate) {
+	update.IsNewTerm = g.terms[update.Source] != update.Sums.Term
+	g.terms[update.Source] = update.Sums.Term
+	g.config.OnSums(update)
+}
+
 // handleRelayed passes on the events of an instance that an aggregator relays.
 func (g *Gossiper) handleRelayed(payload []byte) {
 	heartbeat := new(Heartbeat)
--- a/coordination/gossiper/gossiper.go
+++ b/coordination/gossiper/gossiper.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/state/aggregator"
 	"github.com/crocushollow/crocushollow/state/encoder"
 )
@@ -51,9 +52,8 @@
 	// OnHeartbeat is called for each received heartbeat. Its loads, uses and demand
 	// are left out if sums include them.
 	OnHeartbeat func(*Heartbeat)
-	// OnSums is called with the sums over several instances. The source names them,
-	// and uptime is the time since the start of the instance that computed the sums.
-	OnSums func(source string, sums *aggregator.Sums, uptime time.Duration)
+	// OnSums is called with the sums over several instances.
+	OnSums func(SumsUpdate)
 	// OnSourceRemoved is called for an instance that has been silent for
 	// removalTimeout or has shut down, and for an instance or a source of sums whose
 	// reports are now included in other sums.
@@ -62,6 +62,18 @@
 	Now             func() time.Time
 }
 
+// SumsUpdate holds sums over several instances.
+type SumsUpdate struct {
+	// Source names the instances.
+	Source string
+	Sums   aggregator.Sums
+	// IsNewTerm means that the sums replace all earlier ones of the source.
+	IsNewTerm bool
+	// Uptime is the time since the start of the instance that computed the sums. It is
+	// 0 if the source is another zone.
+	Uptime time.Duration
+}
+
 // Timing of heartbeats and of the registry.
 const (
 	// heartbeatPeriod is the interval between two heartbeats to an instance in
@@ -108,6 +120,8 @@
 
 	members map[string]*member
 	role    role
+	// terms holds the term of the last sums by source.
+	terms map[string]crocushollow.Incarnation
 	// isReady and isDraining are the status in this instance's last heartbeat.
 	isReady, isDraining bool
 	// aggregation is nil unless this instance aggregates for its availability zone.
@@ -142,6 +156,7 @@
 		outbox:    make(chan outgoing, queueCapacity),
 		done:      make(chan struct{}),
 		members:   make(map[string]*member),
+		terms:     make(map[string]crocushollow.Incarnation),
 	}
 	g.fleet.Store(&Fleet{Size: 1, Names: []string{config.Self.Instance}})
 	return g
--- a/coordination/gossiper/gossiper_test.go
+++ b/coordination/gossiper/gossiper_test.go
@@ -15,7 +15,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
-	"github.com/crocushollow/crocushollow/state/aggregator"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
@@ -130,14 +129,14 @@
 	}
 }
 
-func (i *instance) handleSums(source string, sums *aggregator.Sums, _ time.Duration) {
+func (i *instance) handleSums(update gossiper.SumsUpdate) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if load, found := sums.Loads[upstream]; found || sums.HasAllLoads {
-		i.peerLoads[source] = load.InFlight
+	if load, found := update.Sums.Loads[upstream]; found || update.IsNewTerm {
+		i.peerLoads[update.Source] = load.InFlight
 	}
-	if sums.Term != 0 {
-		i.demand[source] = sums.Demand["m"]
+	if update.Sums.HasUses {
+		i.demand[update.Source] = update.Sums.Demand["m"]
 	}
 }
 
--- a/coordination/gossiper/role.go
+++ b/coordination/gossiper/role.go
@@ -98,10 +98,10 @@
 	switch previous {
 	case direct:
 	case following:
-		g.config.OnSourceRemoved(fleetSource)
+		g.removeSums(fleetSource)
 	case aggregating:
 		for zone := range g.aggregation.zones {
-			g.config.OnSourceRemoved(zoneSourcePrefix + zone)
+			g.removeSums(zoneSourcePrefix + zone)
 		}
 	}
 	isFollowing := g.role.kind == following
@@ -117,6 +117,11 @@
 	}
 }
 
+func (g *Gossiper) removeSums(source string) {
+	delete(g.terms, source)
+	g.config.OnSourceRemoved(source)
+}
+
 // introduce tells the instances of the zone that this one is alive. After their
 // aggregator has stopped they may know of no other instance.
 func (g *Gossiper) introduce() {
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -6,7 +6,6 @@
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/planner"
-	"github.com/crocushollow/crocushollow/state/aggregator"
 )
 
 // signalLoadChange triggers a broadcast of the load changes without blocking.
@@ -81,16 +80,17 @@
 
 // handleSums applies the sums that an aggregator has computed over several
 // instances.
-func (i *Instance) handleSums(source string, sums *aggregator.Sums, uptime time.Duration) {
+func (i *Instance) handleSums(update gossiper.SumsUpdate) {
 	now := time.Now()
-	if sums.HasAllLoads {
-		i.selector.SetPeerLoads(source, sums.Loads, now)
+	sums := &update.Sums
+	if update.IsNewTerm {
+		i.selector.SetPeerLoads(update.Source, sums.Loads, now)
 	} else {
-		i.selector.UpdatePeerLoads(source, sums.Loads, now)
+		i.selector.UpdatePeerLoads(update.Source, sums.Loads, now)
 	}
-	if sums.Term != 0 {
-		i.allotter.SetAggregateUsage(source, sums.Term, uptime, sums.Uses, now)
-		i.demand.setPeer(source, sums.Demand)
+	if sums.HasUses {
+		i.allotter.SetAggregateUsage(update.Source, sums.Term, update.Uptime, sums.Uses, now)
+		i.demand.setPeer(update.Source, sums.Demand)
 	}
 	i.proxy.Wake()
 }
--- a/state/aggregator/aggregator.go
+++ b/state/aggregator/aggregator.go
@@ -43,20 +43,20 @@
 
 // Sums holds the sums over several instances.
 type Sums struct {
-	// Loads holds the load on each upstream. HasAllLoads means that there is none on
-	// other upstreams. Otherwise it holds only the upstreams that have changed.
-	Loads       map[string]selector.Load `cbor:"1,keyasint,omitempty"`
-	HasAllLoads bool                     `cbor:"2,keyasint,omitempty"`
-	// Term identifies the counters of Uses. It is 0 in sums without Uses and Demand.
-	Term   crocushollow.Incarnation  `cbor:"3,keyasint,omitempty"`
-	Uses   map[string]allotter.Usage `cbor:"4,keyasint,omitempty"`
-	Demand map[string]float64        `cbor:"5,keyasint,omitempty"`
+	// Term identifies the aggregator that computed the sums. Sums of another term
+	// replace earlier ones.
+	Term crocushollow.Incarnation `cbor:"1,keyasint"`
+	// Loads holds the load on the upstreams where it has changed, and from time to
+	// time on each other one.
+	Loads map[string]selector.Load `cbor:"2,keyasint,omitempty"`
+	// HasUses means that Uses and Demand are set.
+	HasUses bool                      `cbor:"3,keyasint,omitempty"`
+	Uses    map[string]allotter.Usage `cbor:"4,keyasint,omitempty"`
+	Demand  map[string]float64        `cbor:"5,keyasint,omitempty"`
 }
 
-// Selection says what sums to compute.
+// Selection says which sums to compute besides those of the loads.
 type Selection struct {
-	// AllLoads selects the loads on all upstreams, not only on changed ones.
-	AllLoads bool
 	// Uses selects the consumption of the limits, and Demand the demand for models.
 	Uses, Demand bool
 }
@@ -69,19 +69,20 @@
 	zones     map[string]*source
 	// departed counts the consumption of instances that have been removed.
 	departed map[string]float64
-	// zoneChanged holds the upstreams whose load in this zone has changed since the
-	// last ZoneSums, and fleetChanged those whose load anywhere has changed since
-	// the last EndRound.
-	zoneChanged, fleetChanged map[string]bool
+	// zoneChanges holds the upstreams whose load in this zone has changed, and
+	// fleetChanges those whose load anywhere has changed.
+	zoneChanges, fleetChanges changeSet
 }
 
 // source is an instance of this zone, or another zone.
 type source struct {
 	incarnation crocushollow.Incarnation
-	reportedAt  time.Time
-	loads       map[string]selector.Load
-	demand      map[string]float64
-	uses        map[string]*meter
+	// loadTerm is the term of a zone's loads.
+	loadTerm   crocushollow.Incarnation
+	reportedAt time.Time
+	loads      map[string]selector.Load
+	demand     map[string]float64
+	uses       map[string]*meter
 }
 
 // New returns an aggregator without reports. self is the instance that aggregates.
@@ -89,7 +90,7 @@
 func New(self string, term crocushollow.Incarnation) *Aggregator {
 	return &Aggregator{
 		self: self, term: term, instances: make(map[string]*source), zones: make(map[string]*source), departed: make(map[string]float64),
-		zoneChanged: make(map[string]bool), fleetChanged: make(map[string]bool),
+		zoneChanges: newChangeSet(), fleetChanges: newChangeSet(),
 	}
 }
 
@@ -127,15 +128,17 @@
 		s = newSource()
 		a.zones[zone] = s
 	}
-	if sums.HasAllLoads {
-		a.setLoads(s, sums.Loads, false)
-	} else {
-		for upstream, load := range sums.Loads {
-			s.loads[upstream] = load
+	if s.loadTerm != sums.Term {
+		s.loadTerm = sums.Term
+		a.setLoads(s, nil, false)
+	}
+	for upstream, load := range sums.Loads {
+		if s.loads[upstream] != load {
 			a.markChanged(upstream, false)
 		}
+		s.loads[upstream] = load
 	}
-	if sums.Term != 0 {
+	if sums.HasUses {
 		s.demand = sums.Demand
 		s.setUses(sums.Uses, sums.Term, false, now)
 	}
@@ -171,24 +174,43 @@
 	}
 }
 
-// ZoneSums returns the sums over this zone. Loads count as changed since the last
-// call.
+// BeginRound chooses the upstreams whose loads are in the sums of this round: those
+// that have changed, and a part of the others, so that each is chosen once in a
+// number of rounds.
+func (a *Aggregator) BeginRound(round, rounds int) {
+	a.zoneChanges.choose(round, rounds)
+	a.fleetChanges.choose(round, rounds)
+}
+
+// EndRound forgets the changes that were in the sums of this round.
+func (a *Aggregator) EndRound() {
+	a.zoneChanges.forgetChosen(func(upstream string) bool { return a.load(upstream, "", false) != selector.Load{} })
+	a.fleetChanges.forgetChosen(func(upstream string) bool { return a.load(upstream, "", true) != selector.Load{} })
+}
+
+// HasZoneLoads reports whether ZoneSums has loads in this round.
+func (a *Aggregator) HasZoneLoads() bool { return len(a.zoneChanges.chosen) > 0 }
+
+// HasLoads reports whether OtherSums has loads in this round.
+func (a *Aggregator) HasLoads() bool { return len(a.fleetChanges.chosen) > 0 }
+
+// ZoneSums returns the sums over this zone.
 func (a *Aggregator) ZoneSums(selection Selection) Sums {
-	sums := a.sums(selection, a.zoneChanged, "", false)
-	clear(a.zoneChanged)
-	return sums
+	return a.sums(selection, a.zoneChanges.chosen, "", false)
 }
 
 // OtherSums returns the sums over all instances of the fleet but the given one.
-// Loads count as changed since the last EndRound.
 func (a *Aggregator) OtherSums(instance string, selection Selection) Sums {
-	return a.sums(selection, a.fleetChanged, instance, true)
+	return a.sums(selection, a.fleetChanges.chosen, instance, true)
 }
 
-func (a *Aggregator) sums(selection Selection, changed map[string]bool, excluded string, withZones bool) Sums {
-	sums := Sums{HasAllLoads: selection.AllLoads, Loads: a.loads(changed, selection.AllLoads, excluded, withZones)}
+func (a *Aggregator) sums(selection Selection, upstreams []string, excluded string, withZones bool) Sums {
+	sums := Sums{Term: a.term, Loads: make(map[string]selector.Load, len(upstreams))}
+	for _, upstream := range upstreams {
+		sums.Loads[upstream] = a.load(upstream, excluded, withZones)
+	}
 	if selection.Uses {
-		sums.Term, sums.Uses = a.term, a.uses(excluded, withZones)
+		sums.HasUses, sums.Uses = true, a.uses(excluded, withZones)
 	}
 	if selection.Demand {
 		sums.Demand = a.demand(excluded, withZones)
@@ -196,16 +218,6 @@
 	return sums
 }
 
-// HasZoneChanges reports whether loads in this zone have changed since the last
-// ZoneSums.
-func (a *Aggregator) HasZoneChanges() bool { return len(a.zoneChanged) > 0 }
-
-// HasChanges reports whether loads have changed since the last EndRound.
-func (a *Aggregator) HasChanges() bool { return len(a.fleetChanged) > 0 }
-
-// EndRound forgets which loads have changed.
-func (a *Aggregator) EndRound() { clear(a.fleetChanged) }
-
 func newSource() *source {
 	return &source{loads: make(map[string]selector.Load), uses: make(map[string]*meter)}
 }
@@ -228,9 +240,9 @@
 }
 
 func (a *Aggregator) markChanged(upstream string, isInZone bool) {
-	a.fleetChanged[upstream] = true
+	a.fleetChanges.add(upstream)
 	if isInZone {
-		a.zoneChanged[upstream] = true
+		a.zoneChanges.add(upstream)
 	}
 }
 
@@ -249,28 +261,11 @@
 	}
 }
 
-// loads returns the total loads on the changed upstreams, or on all that have any.
-func (a *Aggregator) loads(changed map[string]bool, all bool, excluded string, withZones bool) map[string]selector.Load {
-	totals := make(map[string]selector.Load)
-	if all {
-		a.sources(excluded, withZones, func(s *source) {
-			for upstream, load := range s.loads {
-				if load != (selector.Load{}) {
-					totals[upstream] = totals[upstream].Plus(load)
-				}
-			}
-		})
-		return totals
-	}
-	for upstream := range changed {
-		totals[upstream] = selector.Load{}
-	}
-	a.sources(excluded, withZones, func(s *source) {
-		for upstream := range changed {
-			totals[upstream] = totals[upstream].Plus(s.loads[upstream])
-		}
-	})
-	return totals
+// load returns the total load on an upstream.
+func (a *Aggregator) load(upstream, excluded string, withZones bool) selector.Load {
+	var total selector.Load
+	a.sources(excluded, withZones, func(s *source) { total = total.Plus(s.loads[upstream]) })
+	return total
 }
 
 // uses returns the total consumption and demand of each workspace, with the level
--- a/state/aggregator/aggregator_test.go
+++ b/state/aggregator/aggregator_test.go
@@ -12,6 +12,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/state/aggregator"
 	"github.com/crocushollow/crocushollow/state/allotter"
+	"github.com/crocushollow/crocushollow/state/encoder"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -30,6 +31,8 @@
 	startedAt   time.Time
 	loads       map[string]selector.Load
 	consumed    float64
+	// known is the load of all others as this instance has received it.
+	known map[string]selector.Load
 }
 
 func (i *instance) report(now time.Time) *aggregator.Report {
@@ -49,6 +52,7 @@
 	now         time.Time
 	instances   []*instance
 	aggregators []*aggregator.Aggregator
+	round       int
 	// total is the consumption of all instances, including earlier incarnations.
 	total float64
 }
@@ -58,7 +62,8 @@
 	for zone := range zones {
 		for n := range perZone {
 			f.instances = append(f.instances, &instance{
-				name: fmt.Sprint(zone, "-", n), zone: zone, incarnation: 1, startedAt: f.now.Add(-time.Minute), loads: make(map[string]selector.Load),
+				name: fmt.Sprint(zone, "-", n), zone: zone, incarnation: 1, startedAt: f.now.Add(-time.Minute),
+				loads: make(map[string]selector.Load), known: make(map[string]selector.Load),
 			})
 		}
 		f.aggregators = append(f.aggregators, aggregator.New(fmt.Sprint(zone, "-0"), crocushollow.Incarnation(zone+1)))
@@ -66,23 +71,44 @@
 	return f
 }
 
-// exchange delivers the reports of all instances and the sums of all zones.
+// refreshRounds is the number of rounds in which every load is sent.
+const refreshRounds = 4
+
+// exchange delivers the reports of all instances, and the sums until every load has
+// been sent.
 func (f *fleet) exchange() {
 	for _, i := range f.instances {
 		f.aggregators[i.zone].SetReport(i.name, i.report(f.now), f.now)
 	}
-	f.exchangeSums(aggregator.Selection{AllLoads: true, Uses: true, Demand: true})
+	for range refreshRounds {
+		f.exchangeSums(aggregator.Selection{Uses: true, Demand: true}, true)
+	}
 }
 
-func (f *fleet) exchangeSums(selection aggregator.Selection) {
+// exchangeSums runs one round, whose sums may be lost.
+func (f *fleet) exchangeSums(selection aggregator.Selection, arrives bool) {
+	f.round++
 	for zone, a := range f.aggregators {
+		a.BeginRound(f.round, refreshRounds)
 		sums := a.ZoneSums(selection)
 		for other, b := range f.aggregators {
-			if other != zone {
+			if other != zone && arrives {
 				b.SetZone(fmt.Sprint(zone), &sums, f.now)
 			}
 		}
 	}
+	for _, i := range f.instances {
+		sums := f.aggregators[i.zone].OtherSums(i.name, selection)
+		if !arrives {
+			continue
+		}
+		for upstream, load := range sums.Loads {
+			i.known[upstream] = load
+		}
+	}
+	for _, a := range f.aggregators {
+		a.EndRound()
+	}
 }
 
 // loadsOfOthers returns the exact load of all instances but one.
@@ -112,14 +138,19 @@
 					f.aggregators[i.zone].UpdateLoads(i.name, map[string]selector.Load{upstream: load})
 				}
 				if rapid.Bool().Draw(t, "exchanges") {
-					f.exchangeSums(aggregator.Selection{AllLoads: rapid.Bool().Draw(t, "all")})
+					f.exchangeSums(aggregator.Selection{}, rapid.Bool().Draw(t, "digest arrives"))
 				}
 			}
 			f.exchange()
+			// What one zone sends in a round reaches the instances of others in the next.
+			for range refreshRounds {
+				f.exchangeSums(aggregator.Selection{}, true)
+			}
 			for _, i := range f.instances {
-				sums := f.aggregators[i.zone].OtherSums(i.name, aggregator.Selection{AllLoads: true})
-				if fmt.Sprint(sums.Loads) != fmt.Sprint(f.loadsOfOthers(i)) {
-					t.Fatalf("%s: %v, exact %v", i.name, sums.Loads, f.loadsOfOthers(i))
+				for _, upstream := range []string{"a", "b", "c"} {
+					if known, exact := i.known[upstream], f.loadsOfOthers(i)[upstream]; known != exact {
+						t.Fatalf("%s on %s: %v, exact %v", i.name, upstream, known, exact)
+					}
 				}
 			}
 		})
@@ -144,7 +175,7 @@
 					f.aggregators[i.zone].SetReport(i.name, i.report(f.now), f.now)
 				}
 				if rapid.Bool().Draw(t, "exchanges") {
-					f.exchangeSums(selection)
+					f.exchangeSums(selection, true)
 				}
 			}
 			f.exchange()
@@ -209,11 +240,28 @@
 		f := newFleet(1, 3)
 		f.instances[1].loads["a"] = selector.Load{InFlight: 5}
 		f.exchange()
-		f.aggregators[0].EndRound()
+		Expect(f.instances[0].known).To(HaveKeyWithValue("a", selector.Load{InFlight: 5}))
 		f.now = f.now.Add(3 * time.Second)
 		f.aggregators[0].Expire(f.now)
-		sums := f.aggregators[0].OtherSums("0-0", aggregator.Selection{})
-		Expect(sums.Loads).To(HaveKeyWithValue("a", selector.Load{}))
+		f.exchangeSums(aggregator.Selection{}, true)
+		Expect(f.instances[0].known).To(HaveKeyWithValue("a", selector.Load{}))
+	})
+
+	It("sends the loads of thousands of upstreams in messages that fit into a datagram", func() {
+		f := newFleet(2, 2)
+		for u := range 3000 {
+			f.instances[3].loads[fmt.Sprint("i-5f0c", u)] = selector.Load{InFlight: 40, WaitingTokens: 4000.5, CacheTokens: 90000.25}
+		}
+		f.aggregators[1].SetReport(f.instances[3].name, f.instances[3].report(f.now), f.now)
+		for range 24 {
+			f.exchangeSums(aggregator.Selection{Uses: true}, true)
+			f.aggregators[1].BeginRound(f.round, refreshRounds)
+			sums := f.aggregators[1].ZoneSums(aggregator.Selection{Uses: true})
+			payload, err := encoder.Encode(&sums)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(payload)).To(BeNumerically("<", 48<<10))
+		}
+		Expect(f.instances[0].known).To(HaveLen(3000))
 	})
 
 	It("sums up the demand of all other instances", func() {
