--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -81,9 +81,13 @@
 type FeedRecord struct {
 	Offset int64  `cbor:"1,keyasint"`
 	Key    string `cbor:"2,keyasint"`
-	// CompressedValue is the value in the DEFLATE format (RFC 1951). It is empty if
-	// the record deletes the key.
+	// CompressedValue is the value in the DEFLATE format (RFC 1951), or a part of it. It
+	// is empty if the record deletes the key.
 	CompressedValue []byte `cbor:"3,keyasint,omitempty"`
+	// Part is the number of this part, from 0, and Parts the number of all parts. Both
+	// are 0 if the value is complete.
+	Part  int `cbor:"4,keyasint,omitempty"`
+	Parts int `cbor:"5,keyasint,omitempty"`
 }
 
 // UpstreamRegistration is a new or changed registration of an upstream.
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -16,9 +16,11 @@
 	// maxRelayedChanges is the number of changes in one message, which must fit into
 	// a datagram.
 	maxRelayedChanges = 24
-	// maxRelayedRecordBytes is the compressed size up to which a record of operators
-	// is relayed. The other instances read larger ones from the store.
-	maxRelayedRecordBytes = 24 << 10
+	// maxPartBytes is the size of a part of a compressed record of operators, and
+	// maxParts the number of parts up to which it is relayed. The other instances read
+	// larger ones from the store.
+	maxPartBytes = 16 << 10
+	maxParts     = 64
 	// maxRecordBytes bounds a record after decompression.
 	maxRecordBytes = 16 << 20
 	// readDelayStep and maxReadDelay spread the instances that read a feed because
@@ -58,35 +60,60 @@
 
 // feedUpdates splits a batch into messages that continue each other.
 func feedUpdates(batch observer.RelayedBatch, now time.Time) []gossiper.FeedUpdate {
+	size := maxRelayedChanges
+	if batch.Source == observer.Operators {
+		size = 1
+	}
 	var updates []gossiper.FeedUpdate
-	from := batch.From
-	for changes := range slices.Chunk(batch.Changes, maxRelayedChanges) {
-		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, IsComplete: batch.IsComplete}
+	from, left := batch.From, len(batch.Changes)
+	for changes := range slices.Chunk(batch.Changes, size) {
+		next := changes[len(changes)-1].Offset + 1
+		if left -= len(changes); left == 0 {
+			next = batch.Next
+		}
+		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, Next: next, IsComplete: batch.IsComplete}
+		from = next
+		if batch.Source == observer.Operators {
+			updates = append(updates, recordUpdates(update, &changes[0])...)
+			continue
+		}
 		for i := range changes {
-			update.IsComplete = addChange(&update, &changes[i], now) && update.IsComplete
+			addUpstream(&update, &changes[i], now)
 		}
-		update.Next = changes[len(changes)-1].Offset + 1
-		from = update.Next
 		updates = append(updates, update)
 	}
 	if len(updates) == 0 {
 		return []gossiper.FeedUpdate{{Source: string(batch.Source), From: from, Next: batch.Next, IsComplete: batch.IsComplete}}
 	}
-	updates[len(updates)-1].Next = batch.Next
 	return updates
 }
 
-// addChange adds a change to a message. It returns false if the change is too large.
-// Clocks of instances differ, so the end of a cold start is sent as the remaining
-// time.
-func addChange(update *gossiper.FeedUpdate, change *observer.Change, now time.Time) bool {
+// recordUpdates returns the messages for a record of operators: one for each part, or
+// one without the record if it is too large.
+func recordUpdates(update gossiper.FeedUpdate, change *observer.Change) []gossiper.FeedUpdate {
+	record := gossiper.FeedRecord{Offset: change.Offset, Key: change.Key, CompressedValue: compress(change.Record)}
+	parts := slices.Collect(slices.Chunk(record.CompressedValue, maxPartBytes))
+	switch {
+	case len(parts) <= 1:
+		update.Records = []gossiper.FeedRecord{record}
+		return []gossiper.FeedUpdate{update}
+	case len(parts) > maxParts:
+		update.IsComplete = false
+		return []gossiper.FeedUpdate{update}
+	}
+	updates := make([]gossiper.FeedUpdate, 0, len(parts))
+	for i, part := range parts {
+		record.Part, record.Parts, record.CompressedValue = i, len(parts), part
+		update.Records = []gossiper.FeedRecord{record}
+		updates = append(updates, update)
+	}
+	return updates
+}
+
+// addUpstream adds a change of an upstream to a message. Clocks of instances differ, so
+// the end of a cold start is sent as the remaining time.
+func addUpstream(update *gossiper.FeedUpdate, change *observer.Change, now time.Time) {
 	switch {
-	case update.Source == string(observer.Operators):
-		compressed := compress(change.Record)
-		if len(compressed) > maxRelayedRecordBytes {
-			return false
-		}
-		update.Records = append(update.Records, gossiper.FeedRecord{Offset: change.Offset, Key: change.Key, CompressedValue: compressed})
 	case change.DeregisteredUpstream != "":
 		update.Deregistrations = append(update.Deregistrations, gossiper.UpstreamDeregistration{Offset: change.Offset, ID: change.DeregisteredUpstream})
 	case change.Upstream != nil:
@@ -95,13 +122,15 @@
 		registration.Upstream.ColdUntil = time.Time{}
 		update.Registrations = append(update.Registrations, registration)
 	}
-	return true
 }
 
 // handleFeedUpdates passes the changes that a watcher relayed to the observer.
 func (i *Instance) handleFeedUpdates(updates []gossiper.FeedUpdate) {
 	now := time.Now()
 	for u := range updates {
+		if !i.assembler.add(&updates[u]) {
+			continue
+		}
 		batch, err := relayedBatch(&updates[u], now)
 		if err != nil {
 			i.logger.Warn().Err(err).Str("feed", updates[u].Source).Msg("relayed record discarded")
--- a/daemon/hosted/feeds_test.go
+++ b/daemon/hosted/feeds_test.go
@@ -5,6 +5,8 @@
 	"crypto/rand"
 	"fmt"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 func receive(t *testing.T, updates []gossiper.FeedUpdate, now time.Time) []observer.RelayedBatch {
 	t.Helper()
 	var batches []observer.RelayedBatch
+	var parts assembler
 	for _, update := range updates {
 		payload, err := encoder.Encode(&update)
 		if err != nil {
@@ -33,6 +36,9 @@
 		if err := encoder.Decode(payload, &received); err != nil {
 			t.Fatal(err)
 		}
+		if !parts.add(&received) {
+			continue
+		}
 		batch, err := relayedBatch(&received, now)
 		if err != nil {
 			t.Fatal(err)
@@ -80,10 +86,10 @@
 		{Offset: 5, Key: "evacuate/za", Record: []byte("{}")},
 	}}
 	received := receive(t, feedUpdates(batch, time.Now()), time.Now())
-	if len(received) != 1 || !received[0].IsComplete || received[0].From != 4 || received[0].Next != 6 {
+	if len(received) != 2 || !received[0].IsComplete || received[0].From != 4 || received[0].Next != 5 || received[1].From != 5 || received[1].Next != 6 {
 		t.Fatalf("received %+v", received)
 	}
-	changes := received[0].Changes
+	changes := slices.Concat(received[0].Changes, received[1].Changes)
 	if len(changes) != 2 || changes[0].Catalog == nil || changes[0].Catalog.Version() != 7 || changes[1].Zone != "za" || changes[1].InService {
 		t.Errorf("changes %+v", changes)
 	}
@@ -94,7 +100,7 @@
 
 // A table that does not fit into a message is only announced.
 func TestFeedUpdatesLeaveOutLargeRecords(t *testing.T) {
-	record := make([]byte, 2*maxRelayedRecordBytes)
+	record := make([]byte, (maxParts+1)*maxPartBytes)
 	_, _ = rand.Read(record)
 	batch := observer.RelayedBatch{
 		Source: observer.Operators, From: 4, Next: 5, IsComplete: true,
@@ -107,6 +113,50 @@
 	}
 }
 
+// largeTable returns the record of a table that does not fit into one message.
+func largeTable(version int) []byte {
+	noise := make([]byte, 4*maxPartBytes)
+	_, _ = rand.Read(noise)
+	return fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[],"note":"%x"}`, version, noise)
+}
+
+func TestFeedUpdatesCarryLargeTablesInParts(t *testing.T) {
+	batch := observer.RelayedBatch{Source: observer.Operators, From: 4, Next: 6, IsComplete: true, Changes: []observer.Change{
+		{Offset: 4, Key: "config", Record: largeTable(7)},
+		{Offset: 5, Key: "config", Record: largeTable(8)},
+	}}
+	updates := feedUpdates(batch, time.Now())
+	if len(updates) < 8 {
+		t.Fatalf("%d messages", len(updates))
+	}
+	// Datagrams may arrive in another order, and twice.
+	slices.Reverse(updates[:4])
+	updates = slices.Insert(updates, 2, updates[0])
+	received := receive(t, updates, time.Now())
+	if len(received) != 2 || received[0].Changes[0].Catalog.Version() != 7 || received[1].Changes[0].Catalog.Version() != 8 {
+		t.Errorf("received %d batches", len(received))
+	}
+}
+
+func TestAssemblerIgnoresInvalidParts(t *testing.T) {
+	var a assembler
+	part := func(number, parts int) *gossiper.FeedUpdate {
+		return &gossiper.FeedUpdate{Records: []gossiper.FeedRecord{{Offset: 4, Part: number, Parts: parts, CompressedValue: []byte(strings.Repeat("x", number+1))}}}
+	}
+	for _, invalid := range [][2]int{{-1, 2}, {2, 2}, {0, -1}, {0, maxParts + 1}} {
+		if a.add(part(invalid[0], invalid[1])) {
+			t.Errorf("part %d of %d is accepted", invalid[0], invalid[1])
+		}
+	}
+	if a.add(part(0, 2)) || a.add(part(1, 3)) || a.add(part(0, 2)) {
+		t.Error("an incomplete record is complete")
+	}
+	last := part(1, 2)
+	if !a.add(last) || string(last.Records[0].CompressedValue) != "xxx" {
+		t.Errorf("record %q", last.Records[0].CompressedValue)
+	}
+}
+
 func TestDamagedRecordMakesTheBatchIncomplete(t *testing.T) {
 	update := gossiper.FeedUpdate{
 		Source: string(observer.Operators), From: 4, Next: 5, IsComplete: true,
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -104,6 +104,8 @@
 	planner     *planner.Planner
 	proxy       *proxy.Proxy
 	egress      *platform.Egress
+	// assembler is used by the control goroutine of the gossiper only.
+	assembler assembler
 	// placementQueue holds the placements to send to peers.
 	placementQueue *placementQueue
 }
