Remove the cost of prefill bursts

Nothing shows that it serves anyone better, so the choice of an engine is as before, and the test of a peer's load is the earlier one again.

--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -48,20 +48,10 @@
 	s.peers[instance] = peer{reportedAt: now, loads: loads}
 	if now.Sub(s.recomputedAt) >= recomputeInterval {
 		s.recomputePeerLoads(now)
-		s.updatePrefilling(now)
 		return
 	}
 	s.addPeerLoads(previous, -1)
 	s.addPeerLoads(loads, 1)
-	s.updatePrefilling(now)
-}
-
-// updatePrefilling updates all candidates after the load of peers has changed. The
-// caller must lock mu.
-func (s *Selector) updatePrefilling(now time.Time) {
-	for _, c := range s.candidates {
-		c.updatePrefilling(now)
-	}
 }
 
 // addPeerLoads adds the loads of a peer, multiplied by times, to the totals. The
@@ -87,7 +77,6 @@
 		if c := s.candidates[id]; c != nil {
 			c.peerLoad.add(load, 1)
 			c.peerLoad.add(peer.loads[id], -1)
-			c.updatePrefilling(now)
 		}
 		peer.loads[id] = load
 	}
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -18,7 +18,6 @@
 	c.ownLoad.InFlight++
 	c.ownLoad.WaitingTokens += r.waitingTokens
 	c.ownLoad.CacheTokens += r.cacheTokens
-	c.updatePrefilling(now)
 	c.cachedPrefixes.add(request.Prefixes)
 	s.markChanged(c)
 	if service := s.service(request.Service); service != nil && service.ColdRateLimit > 0 {
@@ -48,8 +47,6 @@
 	defer r.selector.mu.Unlock()
 	r.candidate.ownLoad.WaitingTokens = max(r.candidate.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	r.waitingTokens = 0
-	// Prompts do not begin to wait here, so the time does not matter.
-	r.candidate.updatePrefilling(r.candidate.prefillingSince)
 	r.selector.markChanged(r.candidate)
 }
 
@@ -66,7 +63,6 @@
 	c.ownLoad.InFlight--
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
-	c.updatePrefilling(now)
 	c.health.recordOutcome(outcome, now)
 	r.selector.markChanged(c)
 }
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -25,15 +25,6 @@
 	// prefill delays the streams that run there, whose events may be at most
 	// 400 ms apart.
 	maxWaitingTokens = 5000.0
-	// maxPrefillBurst is how long an engine should prefill prompts without a pause. It
-	// prefills between the tokens of the streams that run there, and an event has
-	// several tokens, so that without a pause events are further apart than 400 ms.
-	// prefillBurstCostMillis is the cost of a request that extends a longer burst.
-	maxPrefillBurst        = 340 * time.Millisecond
-	prefillBurstCostMillis = 150.0
-	// prefillTimeout is the time after which prompts that still wait no longer count
-	// as a burst: their requests are stuck.
-	prefillTimeout = 700 * time.Millisecond
 	// runningRequestCostMillis is the latency that each running request adds on an
 	// engine.
 	runningRequestCostMillis = 1.2
@@ -150,10 +141,7 @@
 	ownLoad Load
 	// peerLoad is the total load of all peers.
 	peerLoad Load
-	// prefillingSince is the time since which prompts have been waiting at the
-	// engine without a pause. It is zero if none waits.
-	prefillingSince time.Time
-	health          health
+	health   health
 	// coldSends holds the times of recent requests, for the cold start limit.
 	coldSends      []time.Time
 	cachedPrefixes prefixCache
@@ -280,26 +268,6 @@
 	return true
 }
 
-// exceedsPrefillBurst reports whether an engine that prefills a number of waiting
-// tokens would do so for longer than maxPrefillBurst without a pause.
-func (c *candidate) exceedsPrefillBurst(tokens float64, now time.Time) bool {
-	elapsed := now.Sub(c.prefillingSince)
-	if c.prefillingSince.IsZero() || elapsed > prefillTimeout {
-		return false
-	}
-	return elapsed+time.Duration(tokens/prefillTokensPerMilli*float64(time.Millisecond)) > maxPrefillBurst
-}
-
-// updatePrefilling updates the start of the prefill after the load has changed.
-func (c *candidate) updatePrefilling(now time.Time) {
-	switch isWaiting := c.ownLoad.WaitingTokens+c.peerLoad.WaitingTokens >= 1; {
-	case !isWaiting:
-		c.prefillingSince = time.Time{}
-	case c.prefillingSince.IsZero():
-		c.prefillingSince = now
-	}
-}
-
 // uncachedTokens returns the number of prompt tokens that are not in the engine's
 // KV cache.
 func (c *candidate) uncachedTokens(request *Request) float64 {
@@ -318,11 +286,7 @@
 		return cost + inFlight*plainRequestCostMillis/float64(max(c.upstream.Slots, 1)) + tieBreakMillis(c.hash, 0)
 	}
 	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	tokens := waiting + c.uncachedTokens(request)
-	cost += tokens / prefillTokensPerMilli
-	if c.exceedsPrefillBurst(tokens, now) {
-		cost += prefillBurstCostMillis
-	}
+	cost += (waiting + c.uncachedTokens(request)) / prefillTokensPerMilli
 	cost += inFlight * runningRequestCostMillis
 	return cost + tieBreakMillis(c.hash, affinityHash(request))
 }
