Repeat the end of a load in more messages

Seen once by the model test (rapid): an instance kept a load of an upstream that had become idle, since the message about it and both repeats were lost. It would have kept it until the aggregator changes.

--- a/state/aggregator/aggregator_test.go
+++ b/state/aggregator/aggregator_test.go
@@ -156,6 +156,23 @@
 		})
 	})
 
+	It("tells that a load has ended although the messages are lost for several repeats", func() {
+		f := newFleet(2, 2)
+		f.instances[3].loads["a"] = selector.Load{InFlight: 5}
+		f.exchange()
+		f.exchangeSums(aggregator.Selection{}, true)
+		Expect(f.instances[0].known).To(HaveKeyWithValue("a", selector.Load{InFlight: 5}))
+		f.instances[3].loads["a"] = selector.Load{}
+		f.aggregators[1].UpdateLoads(f.instances[3].name, f.instances[3].loads)
+		for range 6 * refreshRounds {
+			f.exchangeSums(aggregator.Selection{}, false)
+		}
+		for range 2 * refreshRounds {
+			f.exchangeSums(aggregator.Selection{}, true)
+		}
+		Expect(f.instances[0].known).To(HaveKeyWithValue("a", selector.Load{}))
+	})
+
 	It("counts all consumption once while reports are lost and instances restart", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			f := newFleet(rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "per zone"))
--- a/state/aggregator/changes.go
+++ b/state/aggregator/changes.go
@@ -7,8 +7,9 @@
 	// datagram. The others follow in the next rounds.
 	maxLoadsPerRound = 800
 	// idleRepeats is the number of times that an upstream is still sent after its
-	// load has become zero, since messages may be lost.
-	idleRepeats = 2
+	// load has become zero. If all of them were lost, the receiver would count the
+	// load until the aggregator changes.
+	idleRepeats = 8
 )
 
 // changeSet holds the upstreams whose loads are to be sent.
