--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -2,12 +2,8 @@
 
 import (
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/state/aggregator"
 	"github.com/crocushollow/crocushollow/state/encoder"
@@ -58,30 +54,6 @@
 	toMembers, toZones [][]byte
 }
 
-// zoneState is what the aggregator knows about an availability zone.
-type zoneState struct {
-	heardAt time.Time
-	// aggregator is the address of the zone's aggregator.
-	aggregator string
-	roster     Roster
-	// repeats is the number of rounds in which the roster is still to be sent.
-	repeats int
-}
-
-// setRoster replaces the roster. A new version is sent to the instances.
-func (z *zoneState) setRoster(roster Roster) {
-	if roster.Version != z.roster.Version || roster.IsComplete != z.roster.IsComplete {
-		z.roster, z.repeats = roster, rosterRepeats
-	}
-}
-
-// fullRosterRound returns the round in which the roster is sent in full. It differs
-// between zones, since the rosters of all zones of a large fleet do not fit into one
-// datagram.
-func (z *zoneState) fullRosterRound() int {
-	return int(xxhash.Sum64String(z.roster.AvailabilityZone) % fullRosterRounds)
-}
-
 func newAggregation(self Peer, now time.Time) *aggregation {
 	return &aggregation{
 		self: PeerStatus{Peer: self}, since: now,
@@ -174,43 +146,6 @@
 	a.sums.EndRound()
 }
 
-// zoneRoster returns the roster of this instance's zone.
-func (g *Gossiper) zoneRoster(now time.Time) Roster {
-	roster := Roster{AvailabilityZone: g.config.Self.AvailabilityZone, Peers: []PeerStatus{g.aggregation.self}}
-	silent := 0
-	for _, m := range g.members {
-		switch {
-		case m.peer.AvailabilityZone != roster.AvailabilityZone || m.lastHeartbeatAt.IsZero():
-		case now.Sub(m.lastDirectAt) <= livenessTimeout:
-			roster.Peers = append(roster.Peers, m.status())
-		default:
-			silent++
-		}
-	}
-	// An aggregator that hears only a minority is more likely cut off itself.
-	roster.IsComplete = g.aggregation.isSettled(now) && silent < len(roster.Peers)
-	slices.SortFunc(roster.Peers, func(a, b PeerStatus) int { return strings.Compare(a.Peer.Instance, b.Peer.Instance) })
-	// A status that was decoded can be encoded.
-	content, _ := encoder.Encode(roster.Peers)
-	roster.Version = xxhash.Sum64(content)
-	return roster
-}
-
-// listing returns the roster to send in this round: in full, confirmed without its
-// content, or none.
-func (a *aggregation) listing(zone *zoneState, now time.Time) (Roster, bool) {
-	isFresh := zone.roster.Version != 0 && now.Sub(zone.heardAt) <= zoneTimeout
-	switch {
-	case isFresh && (zone.repeats > 0 || a.round%fullRosterRounds == zone.fullRosterRound()):
-		return zone.roster, true
-	case isFresh && a.isDue(rosterRounds):
-		confirmed := zone.roster
-		confirmed.Peers = nil
-		return confirmed, true
-	}
-	return Roster{}, false
-}
-
 // selection returns the sums that are due in this round.
 func (a *aggregation) selection() aggregator.Selection {
 	return aggregator.Selection{Uses: a.isDue(usageRounds)}
@@ -307,140 +242,3 @@
 	}
 	return append([]byte{digestMarker}, payload...), true
 }
-
-// handleDigest updates the members from a digest. It reports whether the fleet has
-// changed.
-func (g *Gossiper) handleDigest(digest *Digest) bool {
-	from := digest.From
-	if from.Instance == g.config.Self.Instance {
-		return false
-	}
-	now := g.config.Now()
-	sender := g.members[from.Instance]
-	hasChanged := sender == nil || sender.peer.Incarnation != from.Incarnation || sender.isSuspect || !sender.isAlive(now)
-	if sender == nil || sender.peer.Incarnation != from.Incarnation {
-		sender = g.addMember(from)
-	}
-	sender.heardDirectly(now)
-	sender.lastHeartbeatAt = now
-	if digest.IsBetweenZones {
-		return g.handleZoneDigest(digest) || hasChanged
-	}
-	hasChanged = g.applyRosters(digest) || hasChanged
-	if g.role.kind != following || g.role.aggregator != from.Instance {
-		return hasChanged
-	}
-	if digest.Sums != nil {
-		g.deliverSums(SumsUpdate{
-			Source: fleetSource, Sums: *digest.Sums, Uptime: time.Duration(digest.UptimeSeconds) * time.Second,
-		})
-	}
-	for _, payload := range digest.Relayed {
-		g.handleRelayed(payload)
-	}
-	return hasChanged
-}
-
-// handleZoneDigest adds the digest of another zone to the aggregation. An instance
-// that is not the aggregator passes the digest on.
-func (g *Gossiper) handleZoneDigest(digest *Digest) bool {
-	zoneName := digest.From.AvailabilityZone
-	if zoneName == g.config.Self.AvailabilityZone {
-		return false
-	}
-	hasChanged := g.applyRosters(digest)
-	if g.role.kind == following && !digest.IsPassedOn {
-		digest.IsPassedOn = true
-		if payload, ok := g.encodeDigest(digest); ok {
-			g.sendPayload(g.members[g.role.aggregator].peer.Address, payload)
-		}
-		return hasChanged
-	}
-	a := g.aggregation
-	if a == nil {
-		return hasChanged
-	}
-	zone := a.zones[zoneName]
-	if zone == nil {
-		zone = &zoneState{}
-		a.zones[zoneName] = zone
-	}
-	now := g.config.Now()
-	zone.heardAt, zone.aggregator = now, digest.From.Address
-	for _, roster := range digest.Rosters {
-		if len(roster.Peers) > 0 {
-			zone.setRoster(roster)
-		}
-	}
-	if digest.Sums != nil {
-		a.sums.SetZone(zoneName, digest.Sums, now)
-		g.deliverSums(SumsUpdate{Source: zoneSourcePrefix + zoneName, Sums: *digest.Sums})
-	}
-	for _, payload := range digest.Relayed {
-		g.handleRelayed(payload)
-		a.toMembers = relay(a.toMembers, payload)
-	}
-	return hasChanged
-}
-
-// deliverSums passes sums to OnSums.
-func (g *Gossiper) deliverSums(update SumsUpdate) {
-	update.IsNewTerm = g.terms[update.Source] != update.Sums.Term
-	g.terms[update.Source] = update.Sums.Term
-	g.config.OnSums(update)
-}
-
-// handleRelayed passes on the events of an instance that an aggregator relays.
-func (g *Gossiper) handleRelayed(payload []byte) {
-	heartbeat := new(Heartbeat)
-	if err := encoder.Decode(payload, heartbeat); err != nil {
-		g.config.Logger.Warn().Err(err).Int("bytes", len(payload)).Msg("relayed heartbeat discarded")
-		return
-	}
-	if heartbeat.From.Instance != g.config.Self.Instance {
-		g.config.OnHeartbeat(heartbeat.events())
-	}
-}
-
-// applyRosters updates the members from the rosters of a digest. It reports whether
-// the fleet has changed.
-func (g *Gossiper) applyRosters(digest *Digest) bool {
-	hasChanged := false
-	for i := range digest.Rosters {
-		roster := &digest.Rosters[i]
-		// The aggregator of a zone hears its instances itself.
-		if g.aggregation == nil || roster.AvailabilityZone != g.config.Self.AvailabilityZone {
-			hasChanged = g.applyRoster(roster) || hasChanged
-		}
-	}
-	return hasChanged
-}
-
-func (g *Gossiper) applyRoster(roster *Roster) bool {
-	now := g.config.Now()
-	hasChanged := false
-	for i := range roster.Peers {
-		status := &roster.Peers[i]
-		name := status.Peer.Instance
-		if name == g.config.Self.Instance {
-			continue
-		}
-		m := g.members[name]
-		if m == nil || m.peer.Incarnation != status.Peer.Incarnation {
-			m = g.addMember(status.Peer)
-		}
-		hasChanged = m.setStatus(*status, now) || hasChanged
-		m.rosterVersion = roster.Version
-	}
-	for _, m := range g.members {
-		switch {
-		case m.peer.AvailabilityZone != roster.AvailabilityZone || now.Sub(m.lastDirectAt) < livenessTimeout && m.rosterVersion != roster.Version:
-		case m.rosterVersion == roster.Version:
-			m.lastHeartbeatAt = now
-		case roster.IsComplete && len(roster.Peers) > 0 && m.isAlive(now):
-			m.lastHeartbeatAt = now.Add(-livenessTimeout - 1)
-			hasChanged = true
-		}
-	}
-	return hasChanged
-}
--- a/coordination/gossiper/digest.go
+++ b/coordination/gossiper/digest.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/crocushollow/crocushollow/state/aggregator"
+	"github.com/crocushollow/crocushollow/state/encoder"
 )
 
 // digestMarker is the first byte of a message that holds a Digest. No CBOR item
@@ -12,28 +14,6 @@
 
 func isDigest(payload []byte) bool { return len(payload) > 1 && payload[0] == digestMarker }
 
-// PeerStatus is the status of an instance in a roster.
-type PeerStatus struct {
-	Peer     Peer `cbor:"1,keyasint"`
-	Ready    bool `cbor:"2,keyasint,omitempty"`
-	Draining bool `cbor:"3,keyasint,omitempty"`
-	// FencingToken is the instance's fencing token if it is the planner leader, and
-	// 0 otherwise.
-	FencingToken int64 `cbor:"4,keyasint,omitempty"`
-}
-
-// Roster lists the instances of an availability zone that are alive, as the zone's
-// aggregator knows them.
-type Roster struct {
-	AvailabilityZone string `cbor:"1,keyasint"`
-	// Version identifies the content of Peers. It differs between aggregators.
-	Version uint64 `cbor:"2,keyasint"`
-	// Peers is empty if the receiver should know this version.
-	Peers []PeerStatus `cbor:"3,keyasint,omitempty"`
-	// IsComplete means that an instance of the zone that is not in Peers is gone.
-	IsComplete bool `cbor:"4,keyasint,omitempty"`
-}
-
 // Digest is a message from the aggregator of an availability zone: to the instances
 // of its zone about all others, and to the aggregators of other zones about its
 // zone.
@@ -71,3 +51,97 @@
 	}
 	return nil
 }
+
+// handleDigest updates the members from a digest. It reports whether the fleet has
+// changed.
+func (g *Gossiper) handleDigest(digest *Digest) bool {
+	from := digest.From
+	if from.Instance == g.config.Self.Instance {
+		return false
+	}
+	now := g.config.Now()
+	sender := g.members[from.Instance]
+	hasChanged := sender == nil || sender.peer.Incarnation != from.Incarnation || sender.isSuspect || !sender.isAlive(now)
+	if sender == nil || sender.peer.Incarnation != from.Incarnation {
+		sender = g.addMember(from)
+	}
+	sender.heardDirectly(now)
+	sender.lastHeartbeatAt = now
+	if digest.IsBetweenZones {
+		return g.handleZoneDigest(digest) || hasChanged
+	}
+	hasChanged = g.applyRosters(digest) || hasChanged
+	if g.role.kind != following || g.role.aggregator != from.Instance {
+		return hasChanged
+	}
+	if digest.Sums != nil {
+		g.deliverSums(SumsUpdate{
+			Source: fleetSource, Sums: *digest.Sums, Uptime: time.Duration(digest.UptimeSeconds) * time.Second,
+		})
+	}
+	for _, payload := range digest.Relayed {
+		g.handleRelayed(payload)
+	}
+	return hasChanged
+}
+
+// handleZoneDigest adds the digest of another zone to the aggregation. An instance
+// that is not the aggregator passes the digest on.
+func (g *Gossiper) handleZoneDigest(digest *Digest) bool {
+	zoneName := digest.From.AvailabilityZone
+	if zoneName == g.config.Self.AvailabilityZone {
+		return false
+	}
+	hasChanged := g.applyRosters(digest)
+	if g.role.kind == following && !digest.IsPassedOn {
+		digest.IsPassedOn = true
+		if payload, ok := g.encodeDigest(digest); ok {
+			g.sendPayload(g.members[g.role.aggregator].peer.Address, payload)
+		}
+		return hasChanged
+	}
+	a := g.aggregation
+	if a == nil {
+		return hasChanged
+	}
+	zone := a.zones[zoneName]
+	if zone == nil {
+		zone = &zoneState{}
+		a.zones[zoneName] = zone
+	}
+	now := g.config.Now()
+	zone.heardAt, zone.aggregator = now, digest.From.Address
+	for _, roster := range digest.Rosters {
+		if len(roster.Peers) > 0 {
+			zone.setRoster(roster)
+		}
+	}
+	if digest.Sums != nil {
+		a.sums.SetZone(zoneName, digest.Sums, now)
+		g.deliverSums(SumsUpdate{Source: zoneSourcePrefix + zoneName, Sums: *digest.Sums})
+	}
+	for _, payload := range digest.Relayed {
+		g.handleRelayed(payload)
+		a.toMembers = relay(a.toMembers, payload)
+	}
+	return hasChanged
+}
+
+// deliverSums passes sums to OnSums.
+func (g *Gossiper) deliverSums(update SumsUpdate) {
+	update.IsNewTerm = g.terms[update.Source] != update.Sums.Term
+	g.terms[update.Source] = update.Sums.Term
+	g.config.OnSums(update)
+}
+
+// handleRelayed passes on the events of an instance that an aggregator relays.
+func (g *Gossiper) handleRelayed(payload []byte) {
+	heartbeat := new(Heartbeat)
+	if err := encoder.Decode(payload, heartbeat); err != nil {
+		g.config.Logger.Warn().Err(err).Int("bytes", len(payload)).Msg("relayed heartbeat discarded")
+		return
+	}
+	if heartbeat.From.Instance != g.config.Self.Instance {
+		g.config.OnHeartbeat(heartbeat.events())
+	}
+}
