--- a/cmd/crocushollow-bench/run.go
+++ b/cmd/crocushollow-bench/run.go
@@ -20,10 +20,13 @@
 type listCommand struct{}
 
 // Run prints the scenarios.
-func (listCommand) Run() {
+func (listCommand) Run() error {
 	for _, s := range scenarios {
-		fmt.Printf("%-12s %s\n", s.name, s.help)
+		if _, err := fmt.Printf("%-12s %s\n", s.name, s.help); err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 type runCommand struct {
