Keep the only replica of a model while another one is planned

Trace: a step that makes room for a second replica counts it at once, so that in the same plan a model without a replica may take the place of the first. Replicas that are only planned no longer allow an eviction.

--- a/cmd/crocushollow-bench/main_test.go
+++ b/cmd/crocushollow-bench/main_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	// The flags of ginkgo are passed to the tests of all packages.
+	_ "github.com/onsi/ginkgo/v2"
 )
 
 // The commands in README.md must work as they are written there.
--- a/state/stocker/stocker.go
+++ b/state/stocker/stocker.go
@@ -82,8 +82,11 @@
 
 // plan is a plan under construction.
 type plan struct {
-	in         Input
+	in Input
+	// replicas counts the replicas of each model with the planned ones, and loaded
+	// those without.
 	replicas   map[string]int
+	loaded     map[string]int
 	desired    map[string]int
 	modelNames []string
 	steps      []Step
@@ -91,7 +94,7 @@
 
 // Plan returns the orders to send now, at most one for each engine.
 func Plan(in Input) []Step {
-	p := &plan{in: in, replicas: make(map[string]int), desired: make(map[string]int)}
+	p := &plan{in: in, replicas: make(map[string]int), loaded: make(map[string]int), desired: make(map[string]int)}
 	for name := range in.Models {
 		p.modelNames = append(p.modelNames, name)
 	}
@@ -99,6 +102,7 @@
 	for _, e := range in.Engines {
 		for i := range e.LoadedModels {
 			p.replicas[e.LoadedModels[i].Model]++
+			p.loaded[e.LoadedModels[i].Model]++
 		}
 	}
 	p.computeDesired()
@@ -233,6 +237,7 @@
 	}
 	if len(pl.victims) > 0 {
 		p.replicas[pl.victims[0]]--
+		p.loaded[pl.victims[0]]--
 		p.steps = append(p.steps, Step{Engine: pl.engine.ID, Model: pl.victims[0], Unload: true})
 		// Count the replica now, so that no other engine evicts models for it.
 		p.replicas[model.Name]++
@@ -306,7 +311,7 @@
 func (p *plan) evictableModels(e *Engine) []string {
 	var names []string
 	for i := range e.LoadedModels {
-		if name := e.LoadedModels[i].Model; p.replicas[name] > 1 {
+		if name := e.LoadedModels[i].Model; p.replicas[name] > 1 && p.loaded[name] > 1 {
 			names = append(names, name)
 		}
 	}
--- a/state/stocker/stocker_test.go
+++ b/state/stocker/stocker_test.go
@@ -157,6 +157,21 @@
 		Expect(steps[0]).To(Equal(stocker.Step{Engine: "e02", Model: "m00"}))
 	})
 
+	It("keeps the only replica of a model while another one is planned", func() {
+		f := newFleet(4, 9)
+		// Three engines are full and the fourth one accepts no order. The most urgent step replaces m02 by a second replica of
+		// m00, whose first one must stay although m05 has demand and no replica.
+		for engine, models := range [][]string{{"m00", "m01", "m03"}, {"m02", "m04", "m06"}, {"m02", "m07", "m08"}} {
+			for _, model := range models {
+				f.load(engine, model)
+			}
+		}
+		f.engines[3].IsOccupied = true
+		f.demand["m00"], f.demand["m05"] = 3, 0.05
+		f.run(1)
+		Expect(f.replicas("m00")).To(BeNumerically(">=", 1))
+	})
+
 	It("leaves one engine of a model free to load its adapters", func() {
 		f := newFleet(1, 2)
 		model := f.models["m00"]
