--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -19,7 +19,7 @@
 	// confirms the rosters, and contains the rosters themselves. Within loadRounds
 	// each load is sent.
 	keepAliveRounds  = 8
-	usageRounds      = 10
+	usageRounds      = 4
 	rosterRounds     = 20
 	loadRounds       = 40
 	fullRosterRounds = 80
