--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -126,10 +126,22 @@
 	source     Source
 	batch      Batch
 	isSnapshot bool
+	isRelayed  bool
 	err        error
 	at         time.Time
 }
 
+// origin names where the changes come from, for logs.
+func (e *event) origin() string {
+	switch {
+	case e.isRelayed:
+		return "relay"
+	case e.isSnapshot:
+		return "snapshot"
+	}
+	return "read"
+}
+
 // New returns an observer that is not running. Run starts it.
 func New(config Config) *Observer {
 	o := &Observer{
@@ -206,7 +218,7 @@
 		switch {
 		case result == relayed:
 			r.next = batch.Next
-			return event{source: r.source, batch: batch, at: o.config.Now()}, 0
+			return event{source: r.source, batch: batch, isRelayed: true, at: o.config.Now()}, 0
 		case result == silent:
 			relays = true
 		case r.source == Operators:
--- a/coordination/observer/state.go
+++ b/coordination/observer/state.go
@@ -92,7 +92,7 @@
 		s.removeMissing(e)
 	}
 	for i := range e.batch.Changes {
-		s.apply(&e.batch.Changes[i], e.at)
+		s.apply(&e.batch.Changes[i], &e)
 	}
 }
 
@@ -123,20 +123,20 @@
 	}
 }
 
-func (s *state) apply(change *Change, at time.Time) {
+func (s *state) apply(change *Change, e *event) {
 	switch {
 	case change.Err != nil:
 		s.logger.Warn().Err(change.Err).Str("key", change.Key).Int64("offset", change.Offset).Msg("published record refused")
 	case change.Catalog != nil:
 		s.applyCatalog(change.Catalog)
 	case change.Zone != "":
-		s.applyZone(change, at)
+		s.applyZone(change, e.at)
 	case change.Upstream != nil:
-		s.applyUpstream(change)
+		s.applyUpstream(change, e.origin())
 	case change.DeregisteredUpstream != "":
 		if s.offsets[change.DeregisteredUpstream] <= change.Offset {
 			s.offsets[change.DeregisteredUpstream] = change.Offset
-			s.deregister(change.DeregisteredUpstream, at)
+			s.deregister(change.DeregisteredUpstream, e.at)
 		}
 	}
 }
@@ -172,13 +172,17 @@
 	s.logger.Info().Str("zone", zone).Msg("availability zone put back into service")
 }
 
-func (s *state) applyUpstream(change *Change) {
+func (s *state) applyUpstream(change *Change, origin string) {
 	next := change.Upstream
 	if s.offsets[next.ID] > change.Offset {
 		return
 	}
 	known := s.upstreams[next.ID]
 	if known != nil && next.IsOlderThan(known) {
+		if next.IsDraining != known.IsDraining {
+			s.logger.Info().Str("upstream", next.ID).Int64("offset", change.Offset).Int64("sequence", next.Sequence).
+				Int64("known_sequence", known.Sequence).Bool("leaving", next.IsDraining).Msg("older registration ignored")
+		}
 		return
 	}
 	s.offsets[next.ID] = change.Offset
@@ -186,7 +190,8 @@
 	s.upstreams[next.ID] = next
 	if known == nil || known.StartUnixMilli != next.StartUnixMilli || known.IsDraining != next.IsDraining {
 		s.logger.Info().Str("upstream", next.ID).Str("service", next.Service).Str("address", next.Address).
-			Int64("born", next.StartUnixMilli).Bool("leaving", next.IsDraining).Msg("upstream announced")
+			Int64("born", next.StartUnixMilli).Bool("leaving", next.IsDraining).Int64("offset", change.Offset).
+			Int64("sequence", next.Sequence).Str("origin", origin).Msg("upstream announced")
 	}
 }
 
@@ -199,6 +204,7 @@
 	if at.Before(s.graceEndsAt) {
 		if _, isPending := s.pendingRemovals[id]; !isPending {
 			s.pendingRemovals[id] = s.graceEndsAt
+			s.logger.Info().Str("upstream", id).Dur("wait", s.graceEndsAt.Sub(at)).Msg("removal of upstream deferred")
 		}
 		return
 	}
