--- /dev/null
+++ b/coordination/observer/leaving_test.go
@@ -0,0 +1,95 @@
+package observer_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/coordination/observer"
+)
+
+// maxKnowledgeDelay is the time within which every instance stops sending requests to
+// an upstream that leaves, counted from the store's response to the upstream.
+const maxKnowledgeDelay = 2 * time.Second
+
+// isSelectable reports whether the view offers the upstream for requests.
+func (f *fixture) isSelectable(id string) bool {
+	known := f.observer.View().Upstreams[id]
+	return known != nil && !known.IsDraining
+}
+
+func drainingUpstream(id string, sequence int64) observer.Change {
+	change := upstream(id, sequence)
+	change.Upstream.IsDraining = true
+	return change
+}
+
+var _ = Describe("An upstream that leaves", func() {
+	// Guards against requests to an upstream that has left, after the store has executed
+	// one of its earlier heartbeats late.
+	It("is not taken back when an earlier heartbeat is stored after its removal", Label("known-red"), func() {
+		f := start()
+		f.upstreams.add(upstream("e1", 4), upstream("e2", 1))
+		Eventually(f.ids, "2s").Should(ConsistOf("e1", "e2"))
+		f.upstreams.add(drainingUpstream("e1", 6))
+		Eventually(func() bool { return f.isSelectable("e1") }, "2s").Should(BeFalse())
+		f.upstreams.add(observer.Change{DeregisteredUpstream: "e1"})
+		Eventually(f.ids, "2s").Should(ConsistOf("e2"))
+		f.upstreams.add(upstream("e1", 5))
+		Consistently(func() bool { return f.isSelectable("e1") }, "1500ms").Should(BeFalse())
+		f.upstreams.add(upstream("e1", 7))
+		Eventually(func() bool { return f.isSelectable("e1") }, "2s").Should(BeTrue())
+	})
+
+	// Guards against an instance that trusts a suspended or slow watcher, which relays
+	// what it read long before.
+	It("is known in time although the watcher relays only what it read before", Label("known-red"), func() {
+		upstreams := &feed{}
+		upstreams.add(upstream("e1", 1), upstream("e2", 1), upstream("e3", 1))
+		follower := startAs(false, &feed{}, upstreams, func(observer.RelayedBatch) {})
+		Eventually(follower.ids, "2s").Should(HaveLen(3))
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() {
+			for ctx.Err() == nil {
+				follower.observer.HandleRelayed(observer.RelayedBatch{Source: observer.Upstreams, From: 1, Next: 2, IsComplete: true})
+				time.Sleep(300 * time.Millisecond)
+			}
+		}()
+		time.Sleep(time.Second)
+		upstreams.add(drainingUpstream("e1", 2))
+		Eventually(func() bool { return follower.isSelectable("e1") }, maxKnowledgeDelay).Should(BeFalse())
+	})
+
+	// Guards against a watcher that cannot reach the store and ignores the instances that
+	// can.
+	It("is known in time to a watcher that cannot read the feed itself", Label("known-red"), func() {
+		watcher := start()
+		watcher.upstreams.add(upstream("e1", 1))
+		Eventually(watcher.ids, "2s").Should(ConsistOf("e1"))
+		watcher.upstreams.setUnreachable(true)
+		change := drainingUpstream("e1", 2)
+		change.Offset = 1
+		watcher.observer.HandleRelayed(observer.RelayedBatch{
+			Source: observer.Upstreams, From: 1, Next: 2, Changes: []observer.Change{change}, IsComplete: true,
+		})
+		Eventually(func() bool { return watcher.isSelectable("e1") }, maxKnowledgeDelay).Should(BeFalse())
+	})
+
+	// Guards against an instance that has read that an upstream is gone, and goes on to
+	// send requests to it because the feed failed shortly before.
+	It("is removed in time after an outage of the feed", Label("known-red"), func() {
+		f := start()
+		f.upstreams.add(upstream("e1", 1))
+		Eventually(f.ids, "2s").Should(ConsistOf("e1"))
+		f.upstreams.setUnreachable(true)
+		time.Sleep(1700 * time.Millisecond)
+		lastReadAt := f.observer.View().UpstreamsReadAt
+		f.upstreams.add(observer.Change{DeregisteredUpstream: "e1"})
+		f.upstreams.setUnreachable(false)
+		Eventually(func() time.Time { return f.observer.View().UpstreamsReadAt }, "2s", "5ms").Should(BeTemporally(">", lastReadAt))
+		Eventually(f.ids, maxKnowledgeDelay).Should(BeEmpty())
+	})
+})
