--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -103,6 +103,10 @@
 type UpstreamDeregistration struct {
 	Offset int64  `cbor:"1,keyasint"`
 	ID     string `cbor:"2,keyasint"`
+	// StartUnixMilli and Sequence identify its newest registration. They are 0 if the
+	// sender does not know it.
+	StartUnixMilli int64 `cbor:"3,keyasint,omitempty"`
+	Sequence       int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Heartbeat is a message from an instance to its peers. A full heartbeat carries
--- a/coordination/observer/leaving_test.go
+++ b/coordination/observer/leaving_test.go
@@ -14,9 +14,9 @@
 // an upstream that leaves, counted from the store's response to the upstream.
 const maxKnowledgeDelay = 2 * time.Second
 
-// isSelectable reports whether the view offers the upstream for requests.
-func (f *fixture) isSelectable(id string) bool {
-	known := f.observer.View().Upstreams[id]
+// isSelectable reports whether the view offers the upstream e1 for requests.
+func (f *fixture) isSelectable() bool {
+	known := f.observer.View().Upstreams["e1"]
 	return known != nil && !known.IsDraining
 }
 
@@ -29,18 +29,37 @@
 var _ = Describe("An upstream that leaves", func() {
 	// Guards against requests to an upstream that has left, after the store has executed
 	// one of its earlier heartbeats late.
-	It("is not taken back when an earlier heartbeat is stored after its removal", Label("known-red"), func() {
+	It("is not taken back when an earlier heartbeat is stored after its removal", func() {
 		f := start()
 		f.upstreams.add(upstream("e1", 4), upstream("e2", 1))
 		Eventually(f.ids, "2s").Should(ConsistOf("e1", "e2"))
 		f.upstreams.add(drainingUpstream("e1", 6))
-		Eventually(func() bool { return f.isSelectable("e1") }, "2s").Should(BeFalse())
+		Eventually(func() bool { return f.isSelectable() }, "2s").Should(BeFalse())
 		f.upstreams.add(observer.Change{DeregisteredUpstream: "e1"})
 		Eventually(f.ids, "2s").Should(ConsistOf("e2"))
 		f.upstreams.add(upstream("e1", 5))
-		Consistently(func() bool { return f.isSelectable("e1") }, "1500ms").Should(BeFalse())
+		Consistently(func() bool { return f.isSelectable() }, "1500ms").Should(BeFalse())
 		f.upstreams.add(upstream("e1", 7))
-		Eventually(func() bool { return f.isSelectable("e1") }, "2s").Should(BeTrue())
+		Eventually(func() bool { return f.isSelectable() }, "2s").Should(BeTrue())
+	})
+
+	// Guards against the same at an instance that has received only the heartbeats that
+	// changed something.
+	It("is not taken back by a follower that does not know its last heartbeat", func() {
+		operators, upstreams := &feed{}, &feed{}
+		upstreams.add(upstream("e1", 1))
+		follower := startAs(false, operators, upstreams, func(observer.RelayedBatch) {})
+		watcher := startAs(true, operators, upstreams, follower.observer.HandleRelayed)
+		Eventually(follower.ids, "2s").Should(ConsistOf("e1"))
+		Eventually(watcher.ids, "2s").Should(ConsistOf("e1"))
+		upstreams.add(upstream("e1", 2), upstream("e1", 3))
+		Eventually(func() int64 { return watcher.observer.View().Upstreams["e1"].Sequence }, "2s").Should(BeEquivalentTo(3))
+		upstreams.add(observer.Change{DeregisteredUpstream: "e1"})
+		Eventually(follower.ids, "2s").Should(BeEmpty())
+		upstreams.add(upstream("e1", 2))
+		Consistently(func() bool { return follower.isSelectable() }, "2500ms").Should(BeFalse())
+		upstreams.add(upstream("e1", 4))
+		Eventually(func() bool { return follower.isSelectable() }, "2s").Should(BeTrue())
 	})
 
 	// Guards against an instance that trusts a suspended or slow watcher, which relays
@@ -60,7 +79,7 @@
 		}()
 		time.Sleep(time.Second)
 		upstreams.add(drainingUpstream("e1", 2))
-		Eventually(func() bool { return follower.isSelectable("e1") }, maxKnowledgeDelay).Should(BeFalse())
+		Eventually(func() bool { return follower.isSelectable() }, maxKnowledgeDelay).Should(BeFalse())
 	})
 
 	// Guards against a watcher that cannot reach the store and ignores the instances that
@@ -75,7 +94,7 @@
 		watcher.observer.HandleRelayed(observer.RelayedBatch{
 			Source: observer.Upstreams, From: 1, Next: 2, Changes: []observer.Change{change}, IsComplete: true,
 		})
-		Eventually(func() bool { return watcher.isSelectable("e1") }, maxKnowledgeDelay).Should(BeFalse())
+		Eventually(func() bool { return watcher.isSelectable() }, maxKnowledgeDelay).Should(BeFalse())
 	})
 
 	// Guards against an instance that has read that an upstream is gone, and goes on to
--- a/coordination/observer/observer.go
+++ b/coordination/observer/observer.go
@@ -39,6 +39,11 @@
 	Upstream *catalog.Upstream
 	// DeregisteredUpstream is the ID of an upstream that is no longer registered.
 	DeregisteredUpstream string
+	// LastStartUnixMilli and LastSequence identify the newest registration of a
+	// deregistered upstream. They are 0 if the instance that relays the change does not
+	// know it.
+	LastStartUnixMilli int64
+	LastSequence       int64
 	// Err is the reason why a record could not be decoded.
 	Err error
 	// Key is the key of the record.
@@ -176,8 +181,7 @@
 // follow reads one feed, or takes the batches that its watcher relays, until the
 // context ends.
 func (o *Observer) follow(ctx context.Context, source Source, feed Feed, wait, period time.Duration) error {
-	reader := feedReader{observer: o, source: source, feed: feed, wait: wait, period: period, next: -1, retryDelay: minRetryDelay}
-	reader.filter.relayed = make(map[string]catalog.Upstream)
+	reader := feedReader{observer: o, source: source, feed: feed, wait: wait, period: period, next: -1, retryDelay: minRetryDelay, filter: newChangeFilter()}
 	for {
 		e, delay := reader.read(ctx)
 		select {
@@ -218,6 +222,7 @@
 		switch {
 		case result == relayed:
 			r.next = batch.Next
+			r.filter.apply(batch.Changes, o.config.Now())
 			return event{source: r.source, batch: batch, isRelayed: true, at: o.config.Now()}, 0
 		case result == silent:
 			relays = true
@@ -233,8 +238,9 @@
 	if e.err != nil {
 		return e, r.handleFailure(e.err)
 	}
+	changes := r.filter.apply(e.batch.Changes, e.at)
 	if relays {
-		o.relay(r.source, &r.filter, r.next, e.batch)
+		o.relay(r.source, r.next, e.batch.Next, changes)
 	}
 	r.next, r.retryDelay, r.failures = e.batch.Next, minRetryDelay, 0
 	if isWatcher || e.isSnapshot {
@@ -270,16 +276,12 @@
 	return feed.Follow(ctx, next, wait)
 }
 
-// relay relays the changes of a call. For a snapshot it relays only the offset at
-// which the snapshot ends.
-func (o *Observer) relay(source Source, filter *changeFilter, from int64, batch Batch) {
-	changes := batch.Changes
-	if source == Upstreams {
-		changes = filter.apply(changes)
-	}
-	message := RelayedBatch{Source: source, From: from, Next: batch.Next, Changes: changes, IsComplete: true}
+// relay relays the changes of a call between two offsets. For a snapshot it relays only
+// the offset at which the snapshot ends.
+func (o *Observer) relay(source Source, from, next int64, changes []Change) {
+	message := RelayedBatch{Source: source, From: from, Next: next, Changes: changes, IsComplete: true}
 	if from < 0 {
-		message.From, message.Changes, message.IsComplete = batch.Next, nil, false
+		message.From, message.Changes, message.IsComplete = next, nil, false
 	}
 	o.config.Relay(message)
 }
--- a/coordination/observer/relay.go
+++ b/coordination/observer/relay.go
@@ -79,32 +79,72 @@
 	}
 }
 
-// changeFilter selects the changes of upstreams that are worth relaying.
+// minRelays is the number of registrations after an upstream appears that are relayed
+// even if nothing has changed. An instance ignores the first one if it takes it for an
+// earlier one than that of a removed upstream.
+const minRelays = 2
+
+// knownRegistration is the newest registration of an upstream.
+type knownRegistration struct {
+	catalog.Upstream
+	// relays counts the relayed registrations since the upstream appeared.
+	relays int
+}
+
+// changeFilter selects the changes that are worth relaying. It must be given all
+// changes, also those that another instance has relayed.
 type changeFilter struct {
-	// relayed holds the last relayed registration of each upstream.
-	relayed map[string]catalog.Upstream
+	newest   map[string]knownRegistration
+	departed departures
 }
 
-// apply returns the changes that alter a registration in more than its sequence
-// number. It keeps all registrations of cold upstreams and all deregistrations.
-func (f *changeFilter) apply(changes []Change) []Change {
+func newChangeFilter() changeFilter {
+	return changeFilter{newest: make(map[string]knownRegistration), departed: make(departures)}
+}
+
+// apply returns the changes of operators, and those that alter a registration in more
+// than its sequence number. It keeps all registrations of cold upstreams and all
+// deregistrations.
+func (f *changeFilter) apply(changes []Change, now time.Time) []Change {
 	var kept []Change
 	for _, change := range changes {
 		switch {
 		case change.DeregisteredUpstream != "":
-			delete(f.relayed, change.DeregisteredUpstream)
-			kept = append(kept, change)
-		case change.Upstream != nil && f.hasChanged(change.Upstream):
+			kept = append(kept, f.deregister(change, now))
+		case change.Upstream != nil && !f.hasChanged(change.Upstream):
+		default:
 			kept = append(kept, change)
 		}
 	}
 	return kept
 }
 
+// deregister returns the change with the newest registration that is known of the
+// upstream.
+func (f *changeFilter) deregister(change Change, now time.Time) Change {
+	id := change.DeregisteredUpstream
+	f.departed.add(id, change.LastStartUnixMilli, change.LastSequence, now)
+	if last, found := f.newest[id]; found {
+		f.departed.add(id, last.StartUnixMilli, last.Sequence, now)
+		delete(f.newest, id)
+	}
+	last := f.departed[id]
+	change.LastStartUnixMilli, change.LastSequence = last.startUnixMilli, last.sequence
+	return change
+}
+
 func (f *changeFilter) hasChanged(upstream *catalog.Upstream) bool {
-	next := *upstream
-	next.Sequence = 0
-	known, found := f.relayed[upstream.ID]
-	f.relayed[upstream.ID] = next
-	return !found || !next.ColdUntil.IsZero() || !reflect.DeepEqual(known, next)
+	known, found := f.newest[upstream.ID]
+	last, hasDeparted := f.departed[upstream.ID]
+	if found && upstream.IsOlderThan(&known.Upstream) || !found && hasDeparted && !last.isSucceededBy(upstream) {
+		return false
+	}
+	unchanged := known.Upstream
+	unchanged.Sequence = upstream.Sequence
+	isWorthRelaying := known.relays < minRelays || !upstream.ColdUntil.IsZero() || !reflect.DeepEqual(unchanged, *upstream)
+	if isWorthRelaying {
+		known.relays++
+	}
+	f.newest[upstream.ID] = knownRegistration{Upstream: *upstream, relays: known.relays}
+	return isWorthRelaying
 }
--- a/coordination/observer/state.go
+++ b/coordination/observer/state.go
@@ -41,6 +41,7 @@
 	logger    zerolog.Logger
 	catalog   *catalog.Catalog
 	upstreams map[string]*catalog.Upstream
+	departed  departures
 	// offsets and zonesOutOfService hold the offset of the last change of each
 	// upstream and of each zone that is out of service.
 	offsets           map[string]int64
@@ -60,6 +61,7 @@
 	return &state{
 		logger:            logger,
 		upstreams:         make(map[string]*catalog.Upstream),
+		departed:          make(departures),
 		offsets:           make(map[string]int64),
 		zonesOutOfService: make(map[string]int64),
 		zonesRestoredAt:   make(map[string]time.Time),
@@ -116,8 +118,9 @@
 		}
 		return
 	}
-	for id := range s.upstreams {
+	for id, known := range s.upstreams {
 		if !listed[id] {
+			s.departed.add(id, known.StartUnixMilli, known.Sequence, e.at)
 			s.deregister(id, e.at)
 		}
 	}
@@ -136,6 +139,7 @@
 	case change.DeregisteredUpstream != "":
 		if s.offsets[change.DeregisteredUpstream] <= change.Offset {
 			s.offsets[change.DeregisteredUpstream] = change.Offset
+			s.departed.add(change.DeregisteredUpstream, change.LastStartUnixMilli, change.LastSequence, e.at)
 			s.deregister(change.DeregisteredUpstream, e.at)
 		}
 	}
@@ -179,12 +183,14 @@
 	}
 	known := s.upstreams[next.ID]
 	if known != nil && next.IsOlderThan(known) {
-		if next.IsDraining != known.IsDraining {
-			s.logger.Info().Str("upstream", next.ID).Int64("offset", change.Offset).Int64("sequence", next.Sequence).
-				Int64("known_sequence", known.Sequence).Bool("leaving", next.IsDraining).Msg("older registration ignored")
-		}
+		s.logIgnored(change, known.Sequence, next.IsDraining != known.IsDraining)
+		return
+	}
+	if last, found := s.departed[next.ID]; known == nil && found && !last.isSucceededBy(next) {
+		s.logIgnored(change, last.sequence, true)
 		return
 	}
+	delete(s.departed, next.ID)
 	s.offsets[next.ID] = change.Offset
 	delete(s.pendingRemovals, next.ID)
 	s.upstreams[next.ID] = next
@@ -195,6 +201,16 @@
 	}
 }
 
+// logIgnored logs a registration that is older than the known one if it would have
+// changed which upstreams get requests.
+func (s *state) logIgnored(change *Change, knownSequence int64, isRelevant bool) {
+	if !isRelevant {
+		return
+	}
+	s.logger.Info().Str("upstream", change.Upstream.ID).Int64("offset", change.Offset).Int64("sequence", change.Upstream.Sequence).
+		Int64("known_sequence", knownSequence).Bool("leaving", change.Upstream.IsDraining).Msg("older registration ignored")
+}
+
 // deregister removes an upstream, at once or at the end of the grace period after
 // an outage of the feed.
 func (s *state) deregister(id string, at time.Time) {
@@ -212,6 +228,8 @@
 }
 
 func (s *state) remove(id string) {
+	known := s.upstreams[id]
+	s.departed.add(id, known.StartUnixMilli, known.Sequence, s.respondedAt[Upstreams])
 	delete(s.upstreams, id)
 	delete(s.pendingRemovals, id)
 	s.changed = true
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -115,7 +115,10 @@
 func addUpstream(update *gossiper.FeedUpdate, change *observer.Change, now time.Time) {
 	switch {
 	case change.DeregisteredUpstream != "":
-		update.Deregistrations = append(update.Deregistrations, gossiper.UpstreamDeregistration{Offset: change.Offset, ID: change.DeregisteredUpstream})
+		update.Deregistrations = append(update.Deregistrations, gossiper.UpstreamDeregistration{
+			Offset: change.Offset, ID: change.DeregisteredUpstream,
+			StartUnixMilli: change.LastStartUnixMilli, Sequence: change.LastSequence,
+		})
 	case change.Upstream != nil:
 		registration := gossiper.UpstreamRegistration{Offset: change.Offset, Upstream: *change.Upstream}
 		registration.ColdRemaining = max(change.Upstream.ColdUntil.Sub(now), 0)
@@ -156,7 +159,10 @@
 		}
 	}
 	for _, deregistration := range update.Deregistrations {
-		batch.Changes = append(batch.Changes, observer.Change{Offset: deregistration.Offset, DeregisteredUpstream: deregistration.ID})
+		batch.Changes = append(batch.Changes, observer.Change{
+			Offset: deregistration.Offset, DeregisteredUpstream: deregistration.ID,
+			LastStartUnixMilli: deregistration.StartUnixMilli, LastSequence: deregistration.Sequence,
+		})
 	}
 	for _, registration := range update.Registrations {
 		upstream := registration.Upstream
