--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -75,6 +75,8 @@
 	Records []FeedRecord `cbor:"6,keyasint,omitempty"`
 	// IsComplete means that the update has all changes between From and Next.
 	IsComplete bool `cbor:"7,keyasint,omitempty"`
+	// Age is how long before this update was sent the store may have sent the changes.
+	Age time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // FeedRecord is a record that operators have published.
--- a/coordination/observer/leaving_test.go
+++ b/coordination/observer/leaving_test.go
@@ -20,8 +20,8 @@
 	return known != nil && !known.IsDraining
 }
 
-func drainingUpstream(id string, sequence int64) observer.Change {
-	change := upstream(id, sequence)
+func drainingUpstream(sequence int64) observer.Change {
+	change := upstream("e1", sequence)
 	change.Upstream.IsDraining = true
 	return change
 }
@@ -33,7 +33,7 @@
 		f := start()
 		f.upstreams.add(upstream("e1", 4), upstream("e2", 1))
 		Eventually(f.ids, "2s").Should(ConsistOf("e1", "e2"))
-		f.upstreams.add(drainingUpstream("e1", 6))
+		f.upstreams.add(drainingUpstream(6))
 		Eventually(func() bool { return f.isSelectable() }, "2s").Should(BeFalse())
 		f.upstreams.add(observer.Change{DeregisteredUpstream: "e1"})
 		Eventually(f.ids, "2s").Should(ConsistOf("e2"))
@@ -64,7 +64,7 @@
 
 	// Guards against an instance that trusts a suspended or slow watcher, which relays
 	// what it read long before.
-	It("is known in time although the watcher relays only what it read before", Label("known-red"), func() {
+	It("is known in time although the watcher relays only what it read before", func() {
 		upstreams := &feed{}
 		upstreams.add(upstream("e1", 1), upstream("e2", 1), upstream("e3", 1))
 		follower := startAs(false, &feed{}, upstreams, func(observer.RelayedBatch) {})
@@ -78,10 +78,26 @@
 			}
 		}()
 		time.Sleep(time.Second)
-		upstreams.add(drainingUpstream("e1", 2))
+		upstreams.add(drainingUpstream(2))
 		Eventually(func() bool { return follower.isSelectable() }, maxKnowledgeDelay).Should(BeFalse())
 	})
 
+	// Guards against an instance whose watcher is silent and that waits for it again after
+	// its own read has failed.
+	It("is known in time although a read of the feed fails", func() {
+		follower := startAs(false, &feed{}, &feed{}, func(observer.RelayedBatch) {})
+		follower.upstreams.add(upstream("e1", 1))
+		Eventually(follower.isSelectable, "2s").Should(BeTrue())
+		calls := follower.upstreams.calls.Load()
+		follower.upstreams.setUnreachable(true)
+		follower.upstreams.add(drainingUpstream(2))
+		draining := time.Now()
+		Eventually(follower.upstreams.calls.Load, "2s", "1ms").Should(BeNumerically(">", calls))
+		time.Sleep(50 * time.Millisecond)
+		follower.upstreams.setUnreachable(false)
+		Eventually(follower.isSelectable, maxKnowledgeDelay-time.Since(draining)).Should(BeFalse())
+	})
+
 	// Guards against a watcher that cannot reach the store and ignores the instances that
 	// can.
 	It("is known in time to a watcher that cannot read the feed itself", Label("known-red"), func() {
@@ -89,7 +105,7 @@
 		watcher.upstreams.add(upstream("e1", 1))
 		Eventually(watcher.ids, "2s").Should(ConsistOf("e1"))
 		watcher.upstreams.setUnreachable(true)
-		change := drainingUpstream("e1", 2)
+		change := drainingUpstream(2)
 		change.Offset = 1
 		watcher.observer.HandleRelayed(observer.RelayedBatch{
 			Source: observer.Upstreams, From: 1, Next: 2, Changes: []observer.Change{change}, IsComplete: true,
--- a/coordination/observer/relay.go
+++ b/coordination/observer/relay.go
@@ -1,9 +1,7 @@
 package observer
 
 import (
-	"context"
 	"reflect"
-	"slices"
 	"time"
 
 	"github.com/crocushollow/crocushollow/catalog"
@@ -27,14 +25,16 @@
 	Next int64
 	// Changes lists the relevant changes between the offsets.
 	Changes []Change
+	// Age is how long before it was relayed the store may have sent the batch.
+	Age time.Duration
 	// IsComplete means that Changes has all that the other instances need. Otherwise
 	// they read the changes themselves.
 	IsComplete bool
 }
 
-// relayTimeout is how long an instance waits for the watcher before it reads the
-// feed itself. Together with one call it stays below the 2 s within which changes
-// must be in force.
+// relayTimeout is the age of the known changes at which an instance no longer waits for
+// the watcher and reads the feed itself. Together with one call it stays below the 2 s
+// within which changes must be in force.
 const relayTimeout = 1300 * time.Millisecond
 
 // relayResult is what an instance has received from the watcher.
@@ -58,27 +58,6 @@
 	}
 }
 
-// awaitRelay waits for a relayed batch of a feed that continues at the next offset.
-func (o *Observer) awaitRelay(ctx context.Context, source Source, next int64) (Batch, relayResult) {
-	timer := time.NewTimer(relayTimeout + o.config.ReadDelay())
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return Batch{}, silent
-		case <-timer.C:
-			return Batch{}, silent
-		case r := <-o.relayed[source]:
-			if r.From > next || !r.IsComplete && r.Next > next {
-				return Batch{}, incomplete
-			}
-			// A watcher that was suspended may relay changes that have been applied.
-			changes := slices.DeleteFunc(r.Changes, func(change Change) bool { return change.Offset < next })
-			return Batch{Changes: changes, Next: max(r.Next, next)}, relayed
-		}
-	}
-}
-
 // minRelays is the number of registrations after an upstream appears that are relayed
 // even if nothing has changed. An instance ignores the first one if it takes it for an
 // earlier one than that of a removed upstream.
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -71,7 +71,7 @@
 		if left -= len(changes); left == 0 {
 			next = batch.Next
 		}
-		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, Next: next, IsComplete: batch.IsComplete}
+		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, Next: next, IsComplete: batch.IsComplete, Age: batch.Age}
 		from = next
 		if batch.Source == observer.Operators {
 			updates = append(updates, recordUpdates(update, &changes[0])...)
@@ -83,7 +83,7 @@
 		updates = append(updates, update)
 	}
 	if len(updates) == 0 {
-		return []gossiper.FeedUpdate{{Source: string(batch.Source), From: from, Next: batch.Next, IsComplete: batch.IsComplete}}
+		return []gossiper.FeedUpdate{{Source: string(batch.Source), From: from, Next: batch.Next, IsComplete: batch.IsComplete, Age: batch.Age}}
 	}
 	return updates
 }
@@ -146,7 +146,7 @@
 // decompressed, the batch is incomplete, so that the instance reads the feed itself.
 func relayedBatch(update *gossiper.FeedUpdate, now time.Time) (observer.RelayedBatch, error) {
 	batch := observer.RelayedBatch{
-		Source: observer.Source(update.Source), From: update.From, Next: update.Next, IsComplete: update.IsComplete,
+		Source: observer.Source(update.Source), From: update.From, Next: update.Next, IsComplete: update.IsComplete, Age: update.Age,
 	}
 	for _, record := range update.Records {
 		value, err := decompress(record.CompressedValue)
