--- a/integration/hosted_control_test.go
+++ b/integration/hosted_control_test.go
@@ -18,6 +18,9 @@
 	zoneRemovalTimeout = "5s"
 	// leaderChangeInterval is the time before each forced change of the planner.
 	leaderChangeInterval = 300 * time.Millisecond
+	// turnedAwayDelay is the time for which the store has turned instances away when a
+	// change is published. Calls that were begun before have ended then.
+	turnedAwayDelay = 2 * time.Second
 )
 
 // respondingUpstreams sends a request a number of times, to one instance after
@@ -121,6 +124,44 @@
 		Entry("lost responses", platformtest.LostResponse),
 	)
 
+	// Guards against requests to an upstream that drains, and against a withdrawn key, at
+	// instances that the store turns away while it serves the others.
+	DescribeTable("applies changes on the instances that the store turns away", Label("known-red"),
+		func(fault platformtest.Fault, turnedAway ...int) {
+			f := startHostedFleet(4)
+			var addresses []string
+			for _, n := range turnedAway {
+				addresses = append(addresses, f.Instances[n].Settings.Store.Address)
+			}
+			f.Store.SetFault(func(call platformtest.StoreCall) platformtest.Fault {
+				if slices.Contains(addresses, call.Address) {
+					return fault
+				}
+				return platformtest.NoFault
+			})
+			time.Sleep(turnedAwayDelay)
+			f.DrainUpstream("i-c")
+			table := f.Table()
+			table.Version, table.ExtraIdempotentPaths = 7, []string{"/new/"}
+			f.PutTable(table)
+			for _, n := range turnedAway {
+				Eventually(func() int { return f.sendTo(n, platformtest.Request{Path: "/new/1"}).Status }, tableUpdateTimeout, "20ms").Should(Equal(200))
+			}
+			drained := len(f.Upstreams()["i-c"].Executions())
+			for range 10 {
+				for _, n := range turnedAway {
+					Expect(f.sendTo(n, stockRequest()).Status).To(Equal(200))
+				}
+			}
+			Expect(f.Upstreams()["i-c"].Executions()).To(HaveLen(drained))
+		},
+		Entry("the watcher of a zone, with responses", platformtest.Throttled, 1),
+		Entry("the watcher of a zone, without responses", platformtest.NoResponse, 1),
+		Entry("all instances of a zone, with responses", platformtest.Throttled, 1, 3),
+		Entry("all instances of a zone, without responses", platformtest.NoResponse, 1, 3),
+		Entry("all instances but one", platformtest.ConnectionReset, 0, 1, 3),
+	)
+
 	// Guards against engines that accept orders of a former planner after another
 	// instance becomes the planner.
 	It("has one planner at a time, with increasing fencing tokens", func() {
