--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -94,6 +94,7 @@
 	}
 	if call.Model != "" {
 		line.Str("model", call.Model).Str("adapter", call.Adapter).
+			Strs("parts", call.SharedPartIDs()).
 			Float64("prompt_tokens", call.PromptTokens).Float64("output_tokens", call.MaxOutputTokens)
 	}
 	if record.Error != nil {
@@ -139,13 +140,14 @@
 }
 
 // AttemptEnded implements proxy.Observer.
-func (r *reporter) AttemptEnded(call *proxy.Call, upstream, result string, took time.Duration, err error) {
-	r.set.GetOrCreateCounter(`crocushollow_attempts_total{result="` + result + `"}`).Inc()
-	if result == "served" || !r.allowLine("attempt") {
+func (r *reporter) AttemptEnded(record proxy.AttemptRecord) {
+	r.set.GetOrCreateCounter(`crocushollow_attempts_total{result="` + record.Result + `"}`).Inc()
+	if record.Result == "served" || !r.allowLine("attempt") {
 		return
 	}
-	r.logger.Warn().Str("request_id", call.ID).Str("upstream", upstream).Str("result", result).
-		Dur("took", took).AnErr("cause", err).Msg("attempt ended")
+	r.logger.Warn().Str("request_id", record.Call.ID).Str("upstream", record.Upstream).Str("result", record.Result).
+		Strs("parts", record.Call.SharedPartIDs()).Int("events", record.Events).Dur("took", record.Duration).
+		AnErr("cause", record.Cause).Msg("attempt ended")
 }
 
 // ServeHTTP writes the metrics in the Prometheus text format.
--- a/protocol/proxy/call.go
+++ b/protocol/proxy/call.go
@@ -51,6 +51,19 @@
 	Tokens float64
 }
 
+// SharedPartIDs returns the IDs of the segments of the prompt that other requests may
+// have in common with this one: all but the last.
+func (c *Call) SharedPartIDs() []string {
+	if len(c.PromptSegments) == 0 {
+		return nil
+	}
+	ids := make([]string, 0, len(c.PromptSegments)-1)
+	for _, segment := range c.PromptSegments[:len(c.PromptSegments)-1] {
+		ids = append(ids, segment.ID)
+	}
+	return ids
+}
+
 // fingerprint returns a hash that is the same when the caller sends the call
 // again under another ID.
 func (c *Call) fingerprint(workspace string) quarantiner.Fingerprint {
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -134,8 +134,8 @@
 
 type discardObserver struct{}
 
-func (discardObserver) CallEnded(proxy.CallRecord)                                     {}
-func (discardObserver) AttemptEnded(*proxy.Call, string, string, time.Duration, error) {}
+func (discardObserver) CallEnded(proxy.CallRecord)       {}
+func (discardObserver) AttemptEnded(proxy.AttemptRecord) {}
 
 const (
 	upstreamCount = 300
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -27,7 +27,19 @@
 // Observer receives the results of calls and attempts, for logs and metrics.
 type Observer interface {
 	CallEnded(record CallRecord)
-	AttemptEnded(call *Call, upstream, result string, duration time.Duration, err error)
+	AttemptEnded(record AttemptRecord)
+}
+
+// AttemptRecord describes a finished attempt.
+type AttemptRecord struct {
+	Call     *Call
+	Upstream string
+	Result   string
+	// Events is the number of stream events that the caller received.
+	Events   int
+	Duration time.Duration
+	// Cause is the last failure of the call.
+	Cause error
 }
 
 // CallRecord describes a finished call.
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -151,6 +151,7 @@
 	r.record.Upstream = reservation.Upstream.ID
 	r.request.Excluded = append(r.request.Excluded, reservation.Upstream.ID)
 	sentAt := config.Now()
+	r.stream.eventsBefore = r.stream.events
 	response, err := config.Sender.Send(ctx, Attempt{
 		Call:        r.call,
 		Upstream:    reservation.Upstream,
@@ -170,7 +171,10 @@
 	now := config.Now()
 	reservation.Release(outcome, now)
 	r.proxy.Wake()
-	config.Observer.AttemptEnded(r.call, reservation.Upstream.ID, resultName(outcome), now.Sub(sentAt), r.record.Cause)
+	config.Observer.AttemptEnded(AttemptRecord{
+		Call: r.call, Upstream: reservation.Upstream.ID, Result: resultName(outcome),
+		Events: r.stream.eventsOfAttempt(), Duration: now.Sub(sentAt), Cause: r.record.Cause,
+	})
 	return next
 }
 
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -24,12 +24,17 @@
 	// lastID is the ID of the last event sent.
 	lastID string
 	events int
+	// eventsBefore is the number of events before the current attempt.
+	eventsBefore int
 	// bytesWithoutID is the number of bytes since the last event that has an ID.
 	bytesWithoutID int
 	// lastWriteAt is the time of the last write.
 	lastWriteAt time.Time
 }
 
+// eventsOfAttempt returns the number of events that the current attempt has sent.
+func (p *streamProgress) eventsOfAttempt() int { return p.events - p.eventsBefore }
+
 // streamEvents forwards the events of a stream as they arrive.
 func (r *run) streamEvents(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
 	// Later attempts may append to the stream, so its length is unknown.
