--- /dev/null
+++ b/integration/hosted_crash_test.go
@@ -0,0 +1,174 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+const (
+	// crashingPart is the prompt part on which each engine ends that begins to respond.
+	crashingPart = "bad0bad0"
+	// stableTime is the operators' time until the fleet has settled after an event.
+	stableTime = 3 * time.Second
+	// toleratedCrashes is the number of engines that one part may end, and
+	// toleratedRequests the number of requests with it that may be sent afterwards.
+	toleratedCrashes  = 5
+	toleratedRequests = 3
+)
+
+// prompt is the header of a request whose prompt has two shared parts.
+func prompt(first, second string, number int) map[string]string {
+	return map[string]string{"X-Prompt-Prefix": fmt.Sprintf("%s:50,%s:30,%x:20", first, second, 0xe0000000+number)}
+}
+
+// startCrashingFleet starts a fleet with eight engines, each of which ends on
+// crashingPart.
+func startCrashingFleet(isCloseDelimited bool) *hostedFleet {
+	GinkgoHelper()
+	f := startHostedFleet(4)
+	f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Reject })
+	for n := range 8 {
+		engine := f.StartUpstream(platformtest.UpstreamConfig{
+			ID: fmt.Sprint("i-engine-", n), Service: platformtest.ModelService, Zone: []string{"za", "zb"}[n%2], Slots: 8,
+			Models: []string{platformtest.Model}, MemoryMB: 200000, ModelMemoryMB: 65000, AdapterSlots: 2, LoadTime: 100 * time.Millisecond,
+			EventsPerStream: 4, EventInterval: 20 * time.Millisecond, IsCloseDelimited: isCloseDelimited,
+		})
+		engine.SetBehaviour(func(execution platformtest.Execution) platformtest.Behaviour {
+			if strings.Contains(execution.Header.Get("X-Prompt-Prefix"), crashingPart) {
+				return platformtest.EndEngine
+			}
+			return platformtest.Serve
+		})
+	}
+	f.DeregisterUpstream("i-a")
+	f.DeregisterUpstream("i-b")
+	time.Sleep(time.Second)
+	return f
+}
+
+// flood sends a request to a random instance at each interval until stop is closed, and
+// returns the responses with the times at which the requests were sent.
+type flood struct {
+	mu        sync.Mutex
+	responses []floodResponse
+	done      sync.WaitGroup
+}
+
+type floodResponse struct {
+	platformtest.Response
+	sentAt time.Time
+}
+
+func (f *hostedFleet) startFlood(ctx context.Context, interval time.Duration, next func(number int) platformtest.Request) *flood {
+	result := &flood{}
+	result.done.Go(func() {
+		for number := 0; ctx.Err() == nil; number++ {
+			request := next(number)
+			request.APIKey = platformtest.APIKey
+			address := f.Instances[number%len(f.Instances)].Settings.Listen.Callers
+			result.done.Go(func() {
+				sentAt := time.Now()
+				response, _ := platformtest.Send(context.Background(), address, request)
+				result.mu.Lock()
+				defer result.mu.Unlock()
+				result.responses = append(result.responses, floodResponse{response, sentAt})
+			})
+			time.Sleep(interval)
+		}
+	})
+	return result
+}
+
+// served returns the number of requests sent after a time, and how many of them were
+// served.
+func (f *flood) served(after time.Time) (sent, served int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.responses {
+		if f.responses[i].sentAt.After(after) {
+			sent++
+			if f.responses[i].Status == 200 && f.responses[i].Complete && len(f.responses[i].EventIDs()) == 4 {
+				served++
+			}
+		}
+	}
+	return sent, served
+}
+
+// crashingArrivals returns how many requests with the crashing part have reached engines
+// after a time.
+func (f *hostedFleet) crashingArrivals(after time.Time) int {
+	count := 0
+	for _, u := range f.AllUpstreams() {
+		for _, arrival := range u.Arrivals() {
+			if arrival.At.After(after) && strings.Contains(arrival.Header.Get("X-Prompt-Prefix"), crashingPart) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// lastToleratedCrash returns the time of the crash after which the part must be known,
+// or of the last one.
+func (f *hostedFleet) lastToleratedCrash() time.Time {
+	GinkgoHelper()
+	crashes := f.EndedAt()
+	Expect(crashes).NotTo(BeEmpty())
+	return crashes[min(toleratedCrashes, len(crashes))-1]
+}
+
+var _ = Describe("Requests that share a prompt part that ends engines", func() {
+	// Guards against requests that end one engine after the other since no two of them
+	// are alike, and against refusing sound requests that share other parts with them.
+	DescribeTable("stop reaching engines, and requests with their other parts stay served", Label("known-red"),
+		func(isCloseDelimited bool, path string, crashing func(number int) map[string]string) {
+			f := startCrashingFleet(isCloseDelimited)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			sound := f.startFlood(ctx, 20*time.Millisecond, func(number int) platformtest.Request {
+				header := prompt("aa00", fmt.Sprintf("bb%02d", number%6), number)
+				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("sound ", number), Header: header}
+			})
+			time.Sleep(time.Second)
+			var crashes atomic.Int64
+			poison := f.startFlood(ctx, 170*time.Millisecond, func(number int) platformtest.Request {
+				crashes.Add(1)
+				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("crash ", number), Header: crashing(number)}
+			})
+			time.Sleep(4*stableTime + 2*time.Second)
+			cancel()
+			sound.done.Wait()
+			poison.done.Wait()
+			fifth := f.lastToleratedCrash()
+			GinkgoWriter.Println("crashes", len(f.EndedAt()), "requests sent", crashes.Load())
+			Expect(f.crashingArrivals(fifth.Add(stableTime))).To(BeNumerically("<=", toleratedRequests))
+			sent, served := sound.served(fifth.Add(2 * stableTime))
+			Expect(sent).To(BeNumerically(">=", 20))
+			Expect(served).To(BeNumerically(">=", sent/2))
+		},
+		Entry("as the second part, after a common first one", false, platformtest.StreamingPath,
+			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+		Entry("as the second part, after different first ones", false, platformtest.StreamingPath,
+			func(number int) map[string]string {
+				return prompt(fmt.Sprintf("aa%02d", number%3), crashingPart, number)
+			}),
+		Entry("as the first part", false, platformtest.StreamingPath,
+			func(number int) map[string]string {
+				return prompt(crashingPart, fmt.Sprintf("bb%02d", number%6), number)
+			}),
+		Entry("in streams that may be resumed", false, platformtest.ResumablePath,
+			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+		Entry("in responses that end with their connection", true, platformtest.StreamingPath,
+			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+	)
+})
