--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -30,33 +30,40 @@
 	return map[string]string{"X-Prompt-Prefix": fmt.Sprintf("%s:50,%s:30,%x:20", first, second, 0xe0000000+number)}
 }
 
+// engineConfig returns the configuration of an engine whose streams take some time.
+func engineConfig(number int, isCloseDelimited bool) platformtest.UpstreamConfig {
+	return platformtest.UpstreamConfig{
+		ID: fmt.Sprint("i-engine-", number), Service: platformtest.ModelService, Zone: []string{"za", "zb"}[number%2], Slots: 8,
+		Models: []string{platformtest.Model}, MemoryMB: 200000, ModelMemoryMB: 65000, AdapterSlots: 2, LoadTime: 100 * time.Millisecond,
+		EventsPerStream: 4, EventInterval: 20 * time.Millisecond, IsCloseDelimited: isCloseDelimited,
+	}
+}
+
+// replaceEngines replaces the engines of the platform.
+func (f *hostedFleet) replaceEngines(count int, isCloseDelimited bool, behaviour func(platformtest.Execution) platformtest.Behaviour) {
+	for n := range count {
+		f.StartUpstream(engineConfig(n, isCloseDelimited)).SetBehaviour(behaviour)
+	}
+	f.DeregisterUpstream("i-a")
+	f.DeregisterUpstream("i-b")
+	time.Sleep(time.Second)
+}
+
 // startCrashingFleet starts a fleet with eight engines, each of which ends on
 // crashingPart.
 func startCrashingFleet(isCloseDelimited bool) *hostedFleet {
 	GinkgoHelper()
 	f := startHostedFleet(4)
-	f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Reject })
-	for n := range 8 {
-		engine := f.StartUpstream(platformtest.UpstreamConfig{
-			ID: fmt.Sprint("i-engine-", n), Service: platformtest.ModelService, Zone: []string{"za", "zb"}[n%2], Slots: 8,
-			Models: []string{platformtest.Model}, MemoryMB: 200000, ModelMemoryMB: 65000, AdapterSlots: 2, LoadTime: 100 * time.Millisecond,
-			EventsPerStream: 4, EventInterval: 20 * time.Millisecond, IsCloseDelimited: isCloseDelimited,
-		})
-		engine.SetBehaviour(func(execution platformtest.Execution) platformtest.Behaviour {
-			if strings.Contains(execution.Header.Get("X-Prompt-Prefix"), crashingPart) {
-				return platformtest.EndEngine
-			}
-			return platformtest.Serve
-		})
-	}
-	f.DeregisterUpstream("i-a")
-	f.DeregisterUpstream("i-b")
-	time.Sleep(time.Second)
+	f.replaceEngines(8, isCloseDelimited, func(execution platformtest.Execution) platformtest.Behaviour {
+		if strings.Contains(execution.Header.Get("X-Prompt-Prefix"), crashingPart) {
+			return platformtest.EndEngine
+		}
+		return platformtest.Serve
+	})
 	return f
 }
 
-// flood sends a request to a random instance at each interval until stop is closed, and
-// returns the responses with the times at which the requests were sent.
+// flood is a series of requests with their responses.
 type flood struct {
 	mu        sync.Mutex
 	responses []floodResponse
@@ -68,6 +75,7 @@
 	sentAt time.Time
 }
 
+// startFlood sends requests to one instance after the other until the context ends.
 func (f *hostedFleet) startFlood(ctx context.Context, interval time.Duration, next func(number int) platformtest.Request) *flood {
 	result := &flood{}
 	result.done.Go(func() {
--- /dev/null
+++ b/integration/hosted_framing_test.go
@@ -0,0 +1,84 @@
+package integration_test
+
+import (
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+// onFirst returns a function that gives the first execution a behaviour, and serves the
+// others.
+func onFirst(first platformtest.Behaviour) func(platformtest.Execution) platformtest.Behaviour {
+	var executions atomic.Int64
+	return func(platformtest.Execution) platformtest.Behaviour {
+		if executions.Add(1) == 1 {
+			return first
+		}
+		return platformtest.Serve
+	}
+}
+
+var _ = Describe("Responses with neither a length nor chunks", func() {
+	const plain = "i-plain"
+
+	startPlain := func(behaviour func(platformtest.Execution) platformtest.Behaviour) *hostedFleet {
+		GinkgoHelper()
+		f := startHostedFleet(2)
+		f.StartUpstream(platformtest.UpstreamConfig{
+			ID: plain, Service: platformtest.PlainService, Zone: "za", Slots: 4, IsCloseDelimited: true,
+		}).SetBehaviour(behaviour)
+		f.DeregisterUpstream("i-c")
+		f.DeregisterUpstream("i-d")
+		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 8) }, drainTimeout).
+			Should(And(HaveLen(1), HaveKey("stamp-"+plain)))
+		return f
+	}
+
+	serve := func(platformtest.Execution) platformtest.Behaviour { return platformtest.Serve }
+
+	It("are forwarded whole when the connection ends", func() {
+		f := startPlain(serve)
+		for n := range 2 {
+			answer := f.sendTo(n, stockRequest())
+			Expect(answer.Status).To(Equal(200))
+			Expect(answer.Complete).To(BeTrue())
+			Expect(answer.Body).To(Equal(platformtest.PlainResponseBody(answer.ID)))
+		}
+		f.replaceEngines(2, true, serve)
+		for n := range 2 {
+			answer := f.sendTo(n, notesRequest())
+			Expect(answer.Complete).To(BeTrue())
+			Expect(answer.EventIDs()).To(Equal([]int{1, 2, 3, 4}))
+		}
+	})
+
+	// Guards against a part of a response that reaches the caller as a success.
+	It("are not forwarded when the connection is reset", func() {
+		f := startPlain(serve)
+		f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.ResetMidBody })
+		Expect(f.send(orderRequest()).Status).To(Equal(502))
+		Expect(f.sendTo(1, stockRequest()).Status).To(Equal(502))
+	})
+
+	// Guards against a stream that breaks off and reaches the caller as complete.
+	DescribeTable("are streams that were broken off if they end inside an event or before the first one",
+		func(behaviour platformtest.Behaviour) {
+			f := startHostedFleet(2)
+			f.replaceEngines(2, true, onFirst(behaviour))
+			resumed := f.send(adviceRequest())
+			Expect(resumed.Status).To(Equal(200))
+			Expect(resumed.Complete).To(BeTrue())
+			Expect(resumed.EventIDs()).To(Equal([]int{1, 2, 3, 4}))
+			f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return behaviour })
+			for n := range 2 {
+				broken := f.sendTo(n, notesRequest())
+				Expect(broken.Status == 200 && broken.Complete).To(BeFalse())
+			}
+		},
+		Entry("inside an event", platformtest.ResetMidStream),
+		Entry("before the first event", platformtest.CloseBeforeFirstEvent),
+	)
+})
--- a/protocol/proxy/sender.go
+++ b/protocol/proxy/sender.go
@@ -33,6 +33,9 @@
 	Header http.Header
 	// Body returns an error other than io.EOF if the response is incomplete.
 	Body io.ReadCloser
+	// EndsWithConnection reports that the response has neither a length nor chunks, so
+	// that its end looks like that of a connection that breaks off.
+	EndsWithConnection bool
 	// NotRun reports that the upstream certainly did not run the call.
 	NotRun bool
 	// Verified reports that the response belongs to the call and comes from an
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -16,6 +16,7 @@
 	eventEnd          = []byte("\n\n")
 	idPrefix          = []byte("id:")
 	errTruncatedEvent = errors.New("the stream ended within an event")
+	errEmptyStream    = errors.New("the connection ended before the first event of the stream")
 	errEventOrder     = errors.New("the event IDs of the stream do not increase")
 )
 
@@ -103,11 +104,15 @@
 	}
 }
 
-// finishStream returns an error if a stream ended within an event.
+// finishStream returns an error if a stream ended within an event, or before the first
+// one if that may have been a connection that broke off.
 func (r *run) finishStream(response *Response, rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return errTruncatedEvent
 	}
+	if response.EndsWithConnection && r.lastEventID() == "" {
+		return errEmptyStream
+	}
 	if !r.headerSent {
 		r.writeHeader(response)
 	}
