--- a/integration/fault_test.go
+++ b/integration/fault_test.go
@@ -92,6 +92,33 @@
 		Expect(f.countEngineCrashes()).To(BeNumerically("<=", 2))
 	})
 
+	// Guards against requests that crash one upstream after another since no two of them
+	// are alike, although they have a message in common, and against refusing sound
+	// requests that share their other messages.
+	It("loses few upstreams to different requests with a message in common that crashes them", func() {
+		f := startFleet(3)
+		shoes := caller.New(f.apiKeys["shoes"])
+		send := func(number int, messages ...string) int {
+			body := `{"model":"letters","max_tokens":5,"messages":[`
+			for _, content := range append([]string{"be brief"}, messages...) {
+				body += fmt.Sprintf(`{"role":"system","content":%q},`, content)
+			}
+			body += fmt.Sprintf(`{"role":"user","content":"question %d"}]}`, number)
+			reply, err := shoes.Send(context.Background(), http.MethodPost, f.running()[number%3].callerAddress, "/v1/chat/completions", nil, body)
+			Expect(err).NotTo(HaveOccurred())
+			return reply.Status
+		}
+		for number := range 12 {
+			// The engines that have crashed load the model again.
+			Eventually(send, "20s", "50ms").WithArguments(number).Should(Equal(http.StatusOK))
+			Expect(send(number, poisonText)).NotTo(Equal(http.StatusOK))
+		}
+		Expect(f.countEngineCrashes()).To(BeNumerically("<=", toleratedCrashes+toleratedRequests))
+		for number := range 6 {
+			Expect(send(number)).To(Equal(http.StatusOK))
+		}
+	})
+
 	// Guards against failed streams of other callers. The crash of an upstream
 	// closes the connections of all its streams.
 	It("resumes the other streams of an upstream that a request crashes", func() {
--- a/protocol/decoder/decoder.go
+++ b/protocol/decoder/decoder.go
@@ -47,8 +47,11 @@
 	PromptTokens int64
 	// PrefixHash is a hash of the prompt's prefix.
 	PrefixHash uint64
-	Class      scheduler.Class
-	Body       []byte
+	// Parts holds the hashes of the messages that other prompts may have too: all but
+	// the last. It is empty for prompts that are not messages.
+	Parts []uint64
+	Class scheduler.Class
+	Body  []byte
 }
 
 // request holds the fields that are decoded from the body.
@@ -87,12 +90,29 @@
 		PrefixHash:   xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]),
 		Body:         body,
 	}
+	if endpoint == ChatCompletions {
+		call.Parts = sharedParts(prompt)
+	}
 	if r.ServiceTier == flexTier {
 		call.Class = scheduler.Batch
 	}
 	return setMaxTokens(call, r)
 }
 
+// sharedParts returns the hashes of all messages but the last. It returns none for
+// messages that are not a list, which the engine rejects.
+func sharedParts(messages json.RawMessage) []uint64 {
+	var list []json.RawMessage
+	if err := json.Unmarshal(messages, &list); err != nil || len(list) == 0 {
+		return nil
+	}
+	parts := make([]uint64, 0, len(list)-1)
+	for _, message := range list[:len(list)-1] {
+		parts = append(parts, xxhash.Sum64(message))
+	}
+	return parts
+}
+
 func promptField(endpoint Endpoint, r request) (json.RawMessage, string) {
 	switch endpoint {
 	case ChatCompletions:
--- a/protocol/decoder/decoder_test.go
+++ b/protocol/decoder/decoder_test.go
@@ -29,6 +29,21 @@
 		Expect(call.Class).To(Equal(scheduler.Batch))
 	})
 
+	It("identifies the messages that other prompts may share, but not the last one", func() {
+		decode := func(messages string) []uint64 {
+			call, err := decoder.Decode(decoder.ChatCompletions, []byte(`{"model":"m","messages":`+messages+`}`))
+			Expect(err).NotTo(HaveOccurred())
+			return call.Parts
+		}
+		first := decode(`[{"role":"system","content":"a"},{"role":"user","content":"b"}]`)
+		second := decode(`[{"role":"system","content":"x"},{"role":"system","content":"a"},{"role":"user","content":"c"}]`)
+		Expect(first).To(HaveLen(1))
+		Expect(second).To(HaveLen(2))
+		Expect(second[1]).To(Equal(first[0]))
+		Expect(decode(`[{"role":"user","content":"b"}]`)).To(BeEmpty())
+		Expect(decode(`"text"`)).To(BeEmpty())
+	})
+
 	DescribeTable("rejects invalid bodies with the outcome not_run", func(endpoint decoder.Endpoint, body string) {
 		_, err := decoder.Decode(endpoint, []byte(body))
 		var apiErr *rejecter.Error
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -126,11 +126,12 @@
 type Executor struct {
 	config       Config
 	retryBudgets *retryBudgets
+	parts        *partTracker
 }
 
 // New returns an executor.
 func New(config Config) *Executor {
-	return &Executor{config: config, retryBudgets: newRetryBudgets()}
+	return &Executor{config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker()}
 }
 
 // readyTimeout is the maximum time that a request waits for the instance to become
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/protocol/relayer"
+	"github.com/crocushollow/crocushollow/state/quarantiner"
 )
 
 // modelRun is the state of one model request across its attempts.
@@ -35,6 +36,8 @@
 	lastError  error
 	// fingerprint identifies the request across instances.
 	fingerprint crocushollow.Digest
+	// parts identifies the messages that other requests may have too.
+	parts []quarantiner.Part
 	// crashes counts the attempts that crashed their upstream. suspectEvent is
 	// the last event published about the request.
 	crashes      int
@@ -81,6 +84,7 @@
 		writer: newCallerWriter(w, e.config.CallerTimeout),
 	}
 	run.fingerprint = run.computeFingerprint()
+	run.parts = toParts(call.Parts)
 	e.retryBudgets.deposit(identity.Workspace.ID)
 	err = run.tryUpstreams(ctx)
 	used := run.tokensUsed(admission)
@@ -145,6 +149,10 @@
 			r.lastError = err
 			return r.fail(ctx)
 		}
+		if r.hasCrashingPart() {
+			r.lastError = errPartCrashesUpstreams
+			return r.fail(ctx)
+		}
 		err := r.attempt(ctx)
 		if !errors.Is(err, errRetry) {
 			return err
@@ -309,7 +317,7 @@
 	var callerErr *relayer.CallerError
 	switch {
 	case err == nil:
-		r.publishConclusion(crocushollow.ClearedEvent)
+		r.recordCompletion()
 		return nil
 	case errors.As(err, &callerErr):
 		return nil
@@ -335,7 +343,7 @@
 	if usage, found := relayer.ParseUsage(body); found {
 		r.usage = &usage
 	}
-	r.publishConclusion(crocushollow.ClearedEvent)
+	r.recordCompletion()
 	r.writer.writeHeader(response.Status, response.Header)
 	_, _ = r.writer.Write(body)
 	return nil
--- a/protocol/executor/suspect.go
+++ b/protocol/executor/suspect.go
@@ -105,6 +105,9 @@
 	r.suspectEvent = r.newSuspectEvent(crocushollow.CrashEvent)
 	r.suspectEvent.Upstream = upstream
 	r.suspectEvent.ProducedOutput = r.progress.Events > r.eventsBeforeAttempt
+	if !r.suspectEvent.ProducedOutput {
+		r.suspectEvent = r.suspectEvent.WithParts(r.call.Parts, time.Now())
+	}
 	r.publishSuspectEvent(ctx, r.suspectEvent)
 }
 
--- a/state/applier/applier_test.go
+++ b/state/applier/applier_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -101,6 +102,22 @@
 		Expect(found).To(BeFalse())
 	})
 
+	It("returns the latest events with prompt parts, in order and once", func() {
+		start := r.state.NextOffset()
+		for number := range uint64(300) {
+			event := crocushollow.SuspectEvent{Kind: crocushollow.CrashEvent, Attempt: crocushollow.NewID()}
+			r.apply(crocushollow.Record{Author: one.MemberID(), SuspectEvents: []crocushollow.SuspectEvent{
+				event, event.WithParts([]uint64{number}, time.Now()),
+			}})
+		}
+		events := r.state.PartEventsSince(start)
+		Expect(events).To(HaveLen(256))
+		Expect(events[0].Parts).To(Equal([]uint64{44}))
+		Expect(events[255].Parts).To(Equal([]uint64{299}))
+		Expect(r.state.PartEventsSince(r.state.NextOffset() - 2)).To(HaveLen(2))
+		Expect(r.state.PartEventsSince(r.state.NextOffset())).To(BeEmpty())
+	})
+
 	It("continues after a batch that cannot be decoded", func() {
 		before := r.state.Table()
 		r.state = r.state.WithSkippedBatch(r.state.NextOffset())
--- a/state/applier/apply.go
+++ b/state/applier/apply.go
@@ -48,7 +48,7 @@
 		s.applyCallClaims(record)
 	}
 	s.applyCallResults(record)
-	s.applySuspectEvents(record)
+	s.applySuspectEvents(offset, record)
 	return results
 }
 
@@ -268,9 +268,15 @@
 	}
 }
 
-func (s *State) applySuspectEvents(record crocushollow.Record) {
+func (s *State) applySuspectEvents(offset uint64, record crocushollow.Record) {
 	for _, event := range record.SuspectEvents {
 		s.applySuspectEvent(event)
+		if len(event.Parts) > 0 {
+			s.partEvents = s.partEvents.Append(partEvent{offset: offset, event: event})
+		}
+	}
+	if excess := s.partEvents.Len() - maxPartEvents; excess > 0 {
+		s.partEvents = s.partEvents.Slice(excess, s.partEvents.Len())
 	}
 	for s.suspectOrder.Len() > maxSuspects {
 		s.dropSuspect(s.suspectOrder.Get(0))
--- a/state/applier/state.go
+++ b/state/applier/state.go
@@ -24,6 +24,8 @@
 	// maxSuspects is the number of requests that are kept as suspects after an
 	// upstream crashed while it ran them.
 	maxSuspects = 10_000
+	// maxPartEvents is the number of events with prompt parts that are kept.
+	maxPartEvents = 256
 	// maxRecordIDs is the number of recent records that are recognized when they
 	// are appended again. An append is retried within seconds.
 	maxRecordIDs = 8192
@@ -58,6 +60,9 @@
 	suspects *immutable.Map[string, crocushollow.SuspectRequest]
 	// suspectOrder lists the fingerprints of suspects, oldest first.
 	suspectOrder *immutable.List[string]
+	// partEvents holds the latest events with prompt parts, oldest first. Snapshots do
+	// not include them, since they matter only for a short time.
+	partEvents *immutable.List[partEvent]
 	// explained holds the upstreams whose crash a likely cause explains.
 	explained *immutable.Map[string, struct{}]
 	// recordIDs holds the IDs of the most recent records.
@@ -76,6 +81,7 @@
 		callOrder:     immutable.NewList[string](),
 		suspects:      immutable.NewMap[string, crocushollow.SuspectRequest](nil),
 		suspectOrder:  immutable.NewList[string](),
+		partEvents:    immutable.NewList[partEvent](),
 		explained:     immutable.NewMap[string, struct{}](nil),
 		recordIDs:     immutable.NewMap[string, struct{}](nil),
 		recordOrder:   immutable.NewList[crocushollow.ID](),
@@ -164,6 +170,27 @@
 	return s.suspects.Get(string(fingerprint[:]))
 }
 
+// partEvent is an event with prompt parts and the offset of its batch in the log.
+type partEvent struct {
+	offset uint64
+	event  crocushollow.SuspectEvent
+}
+
+// PartEventsSince returns the events with prompt parts from an offset of the log on. The
+// oldest may be missing.
+func (s *State) PartEventsSince(offset uint64) []crocushollow.SuspectEvent {
+	var events []crocushollow.SuspectEvent
+	for index := s.partEvents.Len() - 1; index >= 0; index-- {
+		entry := s.partEvents.Get(index)
+		if entry.offset < offset {
+			break
+		}
+		events = append(events, entry.event)
+	}
+	slices.Reverse(events)
+	return events
+}
+
 // IsExonerated reports whether other requests explain every crash of a suspect.
 func (s *State) IsExonerated(suspect crocushollow.SuspectRequest) bool {
 	if !suspect.CanBeExonerated() {
--- a/suspect.go
+++ b/suspect.go
@@ -1,5 +1,7 @@
 package crocushollow
 
+import "time"
+
 // SuspectEvent records that an upstream crashed or closed the connection while it
 // ran a request, or what became of such a request. A crash is published before
 // the request is retried, so that every instance knows about it.
@@ -17,6 +19,21 @@
 	// crash.
 	ProducedOutput bool             `json:"progressed,omitempty"`
 	Kind           SuspectEventKind `json:"kind"`
+	// Parts identifies the parts of the prompt that other requests may share. A
+	// ClearedEvent with parts means that a request with these parts has completed after
+	// crashes of other requests with one of them.
+	Parts []uint64 `json:"parts,omitempty"`
+	// At is the time of the event in Unix milliseconds, by the clock of the member. It
+	// is 0 without parts.
+	At int64 `json:"at,omitempty"`
+}
+
+// WithParts returns a copy of the event with prompt parts.
+func (e SuspectEvent) WithParts(parts []uint64, now time.Time) SuspectEvent {
+	if len(parts) > 0 {
+		e.Parts, e.At = parts, now.UnixMilli()
+	}
+	return e
 }
 
 // SuspectEventKind is the kind of a SuspectEvent.
