--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -111,9 +111,25 @@
 // the stabilization time before it.
 func (j *checker) isStable(instance string, from, until time.Time) bool {
 	from = from.Add(-stabilizationTime)
-	overlaps := func(s interval) bool { return s.overlaps(from, until) }
-	return !slices.ContainsFunc(j.instanceFaults[instance], overlaps) && !slices.ContainsFunc(j.plannedStops[instance], overlaps) &&
-		!slices.ContainsFunc(j.storeFaults, overlaps)
+	return !hasOverlap(j.storeLinkFaults[instance], from, until) && j.isStableWithoutStore(instance, from, until)
+}
+
+// isInformed reports whether an instance must have learned of changes in a time range: it
+// is stable but for its connections to the store, and another instance is stable.
+func (j *checker) isInformed(instance string, from, until time.Time) bool {
+	if !j.isStableWithoutStore(instance, from.Add(-stabilizationTime), until) {
+		return false
+	}
+	return slices.ContainsFunc(j.calls, func(c call) bool { return j.isStable(c.instance, from, until) })
+}
+
+func (j *checker) isStableWithoutStore(instance string, from, until time.Time) bool {
+	return !hasOverlap(j.instanceFaults[instance], from, until) && !hasOverlap(j.plannedStops[instance], from, until) &&
+		!hasOverlap(j.storeFaults, from, until)
+}
+
+func hasOverlap(intervals []interval, from, until time.Time) bool {
+	return slices.ContainsFunc(intervals, func(s interval) bool { return s.overlaps(from, until) })
 }
 
 // checkCalls checks each call on its own: executions, response and duration.
@@ -204,7 +220,7 @@
 		j.fail("keys", "%s carried credentials to %s", run.ID, b.id)
 	}
 	c := j.byID[run.ID]
-	if c == nil || !j.isStable(c.instance, c.sentAt, run.At) {
+	if c == nil || !j.isInformed(c.instance, c.sentAt, run.At) {
 		return
 	}
 	if announcedAt, found := j.drainedAt[b.incarnation]; found && run.At.Sub(announcedAt) > drainTimeLimit {
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -120,7 +120,7 @@
 		Entry("a service that does not recover", "recovery", func(h *history) { h.calls[1].status = 503 }),
 	)
 
-	It("ignores violations of an instance that was disconnected from the store", func() {
+	It("ignores violations of an instance that was disconnected from the other instances", func() {
 		h := validHistory()
 		h.upstreams[0].runs = h.upstreams[0].runs[:1]
 		h.addDrain("i-c/1", at(7))
@@ -128,4 +128,16 @@
 		h.addInstanceFault("node-0", at(8), at(9))
 		Expect(checkHistory(h).Broken).NotTo(HaveKey("draining"))
 	})
+
+	// Guards against an instance that knows only what it reads from the store itself.
+	It("finds violations of an instance that only the store was cut off from, while another one could tell it", func() {
+		h := validHistory()
+		h.addDrain("i-c/1", at(7))
+		h.addStoreLinkFault("node-0", at(8), at(9))
+		h.upstreams[0].runs = h.upstreams[0].runs[:1]
+		Expect(checkHistory(h).Broken).NotTo(HaveKey("draining"))
+		h.add("3", lookUp, 106).instance = "node-1"
+		h.upstreams[0].runs = h.upstreams[0].runs[:1]
+		Expect(checkHistory(h).Broken).To(HaveKey("draining"))
+	})
 })
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -14,6 +14,8 @@
 	calls []call
 	// instanceFaults holds the faults of each instance.
 	instanceFaults map[string][]interval
+	// storeLinkFaults holds the faults of each instance's connections to the store.
+	storeLinkFaults map[string][]interval
 	// plannedStops holds the graceful shutdowns of each instance, and storeFaults
 	// the faults of the store that affect all instances.
 	plannedStops map[string][]interval
@@ -78,7 +80,7 @@
 
 func newHistory() *history {
 	return &history{
-		instanceFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
+		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
 		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time),
 	}
 }
@@ -96,6 +98,13 @@
 	h.instanceFaults[instance] = append(h.instanceFaults[instance], interval{from, until})
 }
 
+// addStoreLinkFault records a fault of an instance's connections to the store.
+func (h *history) addStoreLinkFault(instance string, from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeLinkFaults[instance] = append(h.storeLinkFaults[instance], interval{from, until})
+}
+
 func (h *history) addUpstream(engine *platformtest.Upstream) {
 	service := platformtest.PlainService
 	if engine.IsModelEngine() {
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -256,9 +256,9 @@
 	at := i.scheduleEnd(func() {
 		p.store.SetDefaultFault(faultproxy.Forward)
 		p.store.CloseOpenConnections()
-		i.soaker.history.addInstanceFault(p.name, from, time.Now())
+		i.soaker.history.addStoreLinkFault(p.name, from, time.Now())
 	})
-	i.soaker.history.addInstanceFault(p.name, from, at)
+	i.soaker.history.addStoreLinkFault(p.name, from, at)
 }
 
 // degradeStore makes the store fail a random fraction of all calls.
