--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -108,6 +108,7 @@
 	planner     *planner.Planner
 	proxy       *proxy.Proxy
 	egress      *platform.Egress
+	engines     *platform.EngineClient
 	// assembler is used by the control goroutine of the gossiper only.
 	assembler assembler
 	// placementQueue holds the placements to send to peers.
@@ -236,8 +237,9 @@
 		TCPUserTimeout:          tcpUserTimeout,
 		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
 	})
+	i.engines = platform.NewEngineClient(i.self.Instance, i.egress)
 	i.planner = planner.New(planner.Config{
-		Engines:          platform.NewEngineClient(i.self.Instance, i.egress),
+		Engines:          i.engines,
 		Leadership:       i.elector,
 		Site:             i.site.registeredSite,
 		Demand:           i.demand.total,
@@ -273,6 +275,7 @@
 		Quarantiner:    i.quarantiner,
 		Parts:          i.parts,
 		Sender:         i.egress,
+		HasEnded:       i.engines.HasEnded,
 		RequestAdapter: i.requestAdapter,
 		AddDemand:      i.demand.add,
 		Observer:       i.reporter,
--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -23,6 +23,8 @@
 	// toleratedRequests the number of requests with it that may be sent afterwards.
 	toleratedCrashes  = 5
 	toleratedRequests = 3
+	// registrationInterval is the time between two registrations of an upstream.
+	registrationInterval = 200 * time.Millisecond
 )
 
 // prompt is the header of a request whose prompt has two shared parts.
@@ -136,6 +138,33 @@
 }
 
 var _ = Describe("Requests that share a prompt part that ends engines", func() {
+	// Guards against refusing sound requests for long since their responses were lost.
+	It("are told from requests with a common part whose responses are lost", func() {
+		f := startHostedFleet(4)
+		var isLosing atomic.Bool
+		f.replaceEngines(4, false, func(platformtest.Execution) platformtest.Behaviour {
+			if isLosing.Load() {
+				return platformtest.Crash
+			}
+			return platformtest.Serve
+		})
+		send := func(number int) int {
+			r := notesRequest()
+			r.Body, r.Header = fmt.Sprint("lost ", number), prompt("aa00", "bb00", number)
+			return f.sendTo(number%len(f.Instances), r).Status
+		}
+		isLosing.Store(true)
+		for number := range 12 {
+			Expect(send(number)).NotTo(Equal(200))
+			time.Sleep(2 * registrationInterval)
+		}
+		isLosing.Store(false)
+		time.Sleep(stableTime)
+		for number := range 8 {
+			Expect(send(100 + number)).To(Equal(200))
+		}
+	})
+
 	// Guards against requests that end one engine after the other since no two of them
 	// are alike, and against refusing sound requests that share other parts with them.
 	DescribeTable("stop reaching engines, and requests with their other parts stay served",
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
@@ -86,6 +87,8 @@
 	Quarantiner *quarantiner.Quarantiner
 	Parts       *quarantiner.PartQuarantiner
 	Sender      Sender
+	// HasEnded reports whether an incarnation of an engine has certainly ended.
+	HasEnded func(ctx context.Context, upstream *catalog.Upstream) bool
 	// RequestAdapter requests the load of an adapter that no engine has loaded.
 	RequestAdapter func(service, model, adapter string)
 	// AddDemand adds to the demand for a model, in milliseconds of engine time.
@@ -103,6 +106,8 @@
 	config   Config
 	queue    *queue
 	buffered memoryBudget
+	// endChecks joins the checks of calls that lost the same upstream.
+	endChecks singleflight.Group
 }
 
 // New returns a proxy. Run starts its queue.
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -237,13 +237,27 @@
 	if r.stream.events == 0 {
 		config.Quarantiner.RecordCrash(r.fingerprint, now)
 	}
-	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash {
+	incarnation := upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)
+	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash || len(r.parts) == 0 || !r.proxy.hasEnded(upstream, incarnation) {
 		return
 	}
 	config.Parts.RecordCrash(quarantiner.Suspicion{
-		Crash:   xxhash.Sum64String(upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)),
-		Request: uint64(r.fingerprint), Parts: r.parts,
-	}, now)
+		Crash: xxhash.Sum64String(incarnation), Request: uint64(r.fingerprint), Parts: r.parts,
+	}, config.Now())
+}
+
+// endCheckTimeout bounds the check whether an upstream has ended.
+const endCheckTimeout = 250 * time.Millisecond
+
+// hasEnded reports whether an incarnation of an upstream has ended. A lost connection
+// does not show it: responses and connections are lost without a crash too.
+func (p *Proxy) hasEnded(upstream *catalog.Upstream, incarnation string) bool {
+	ended, _, _ := p.endChecks.Do(incarnation, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+		defer cancel()
+		return p.config.HasEnded(ctx, upstream), nil
+	})
+	return ended == true
 }
 
 // handleCancellation classifies an attempt that ended because the caller
