--- a/coordination/observer/leaving_test.go
+++ b/coordination/observer/leaving_test.go
@@ -98,6 +98,21 @@
 		Eventually(follower.isSelectable, maxKnowledgeDelay-time.Since(draining)).Should(BeFalse())
 	})
 
+	// Guards against an instance that reads without a pause since the store returns less
+	// to it than another instance has relayed.
+	It("is not looked for without a pause while the store returns old records", func() {
+		follower := startAs(false, &feed{}, &feed{}, func(observer.RelayedBatch) {})
+		Eventually(follower.upstreams.calls.Load, "1s").Should(BeEquivalentTo(1))
+		change := drainingUpstream(2)
+		change.Offset = 8
+		follower.observer.HandleRelayed(observer.RelayedBatch{
+			Source: observer.Upstreams, From: 8, Next: 9, Changes: []observer.Change{change}, IsComplete: true,
+		})
+		time.Sleep(time.Second)
+		Expect(follower.observer.View().Upstreams).To(HaveKey("e1"))
+		Expect(follower.upstreams.calls.Load()).To(BeNumerically("<=", 10))
+	})
+
 	// Guards against a watcher that cannot reach the store and ignores the instances that
 	// can.
 	It("is known in time to a watcher that cannot read the feed itself", func() {
--- a/coordination/observer/reader.go
+++ b/coordination/observer/reader.go
@@ -142,7 +142,11 @@
 	}
 	r.advance(call.batch.Next, now.Add(-age))
 	r.retryDelay, r.failures = minRetryDelay, 0
-	if call.isWatcher || e.isSnapshot {
+	switch {
+	case r.hasGap():
+		// The store may return less to this instance than to the one that relayed.
+		r.readAt = now.Add(minRetryDelay)
+	case call.isWatcher || e.isSnapshot:
 		r.readAt = now.Add(r.period)
 	}
 	return e
