--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -6,6 +6,7 @@
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/planner"
+	"github.com/crocushollow/crocushollow/state/quarantiner"
 )
 
 // signal puts an element into a channel of capacity 1 unless it has one.
@@ -70,6 +71,11 @@
 	}
 }
 
+// logPart logs that a prompt part is quarantined or released.
+func (i *Instance) logPart(part quarantiner.Part, isQuarantined bool) {
+	i.logger.Warn().Uint64("part", uint64(part)).Bool("quarantined", isQuarantined).Msg("prompt part that crashes upstreams")
+}
+
 // buildHeartbeat returns this instance's current full heartbeat.
 func (i *Instance) buildHeartbeat() gossiper.Heartbeat {
 	now := time.Now()
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -139,7 +139,7 @@
 			Capacity:         settings.Limits.Cores,
 		},
 	}
-	i.parts = quarantiner.NewParts(func() { signal(i.partsChanged) })
+	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart})
 	i.bounds.Store(&settings.Bounds)
 	i.reporter = newReporter(i.logger, time.Now)
 	i.registerGauges()
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -131,7 +131,7 @@
 
 // New returns an executor.
 func New(config Config) *Executor {
-	return &Executor{config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker()}
+	return &Executor{config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker(config.Logger)}
 }
 
 // readyTimeout is the maximum time that a request waits for the instance to become
--- a/protocol/executor/parts.go
+++ b/protocol/executor/parts.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/applier"
@@ -27,9 +29,14 @@
 	hasNews bool
 }
 
-func newPartTracker() *partTracker {
+func newPartTracker(logger zerolog.Logger) *partTracker {
 	t := &partTracker{}
-	t.parts = quarantiner.NewParts(func() { t.hasNews = true })
+	t.parts = quarantiner.NewParts(quarantiner.PartsConfig{
+		OnNews: func() { t.hasNews = true },
+		OnChange: func(part quarantiner.Part, isQuarantined bool) {
+			logger.Warn().Uint64("part", uint64(part)).Bool("quarantined", isQuarantined).Msg("prompt part that crashes upstreams")
+		},
+	})
 	return t
 }
 
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -177,7 +177,7 @@
 		Budgeter: budgeter.New(budgeter.Config{
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
-		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(func() {}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
+		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
 		RequestAdapter: func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
 	})
--- a/state/quarantiner/parts.go
+++ b/state/quarantiner/parts.go
@@ -89,13 +89,21 @@
 	reportedAt time.Time
 }
 
+// PartsConfig configures a PartQuarantiner. All fields are required. The functions must
+// not block, and not call the PartQuarantiner.
+type PartsConfig struct {
+	// OnNews is called when there is something to tell the peers at once.
+	OnNews func()
+	// OnChange is called when a part is quarantined or released.
+	OnChange func(part Part, isQuarantined bool)
+}
+
 // PartQuarantiner finds the part of a prompt that crashes upstreams, from the requests
 // that were running at each crash, at any instance. A part that crashes upstreams is
 // in every such crash, and no request with it ever completes; the other parts and the
 // requests that ran beside it complete sooner or later. It is safe for concurrent use.
 type PartQuarantiner struct {
-	// onNews is called when there is something to tell the peers at once.
-	onNews func()
+	config PartsConfig
 
 	mu sync.Mutex
 	// suspicions are in the order in which they became known.
@@ -104,10 +112,9 @@
 	quarantined map[Part]quarantine
 }
 
-// NewParts returns a PartQuarantiner without suspicions. onNews is called when there is
-// something to tell the peers; it must not block.
-func NewParts(onNews func()) *PartQuarantiner {
-	return &PartQuarantiner{onNews: onNews, completions: make(map[Part]completion), quarantined: make(map[Part]quarantine)}
+// NewParts returns a PartQuarantiner without suspicions.
+func NewParts(config PartsConfig) *PartQuarantiner {
+	return &PartQuarantiner{config: config, completions: make(map[Part]completion), quarantined: make(map[Part]quarantine)}
 }
 
 // RecordCrash records a request that was running when its upstream crashed.
@@ -118,7 +125,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.add(s, maxReports, now)
-	q.onNews()
+	q.config.OnNews()
 }
 
 // RecordCompletion records that a request with these parts has completed, and thereby
@@ -131,7 +138,7 @@
 			known := q.completions[part]
 			known.reportsLeft = maxReports
 			q.completions[part] = known
-			q.onNews()
+			q.config.OnNews()
 		}
 	}
 }
@@ -168,7 +175,10 @@
 		if q.completedWithin(part.Part, reportPeriod, now) {
 			continue
 		}
-		known := q.quarantined[part.Part]
+		known, found := q.quarantined[part.Part]
+		if !found {
+			q.config.OnChange(part.Part, true)
+		}
 		if until := now.Add(min(part.Remaining, quarantineTime)); until.After(known.until) {
 			known.until = until
 		}
@@ -217,6 +227,7 @@
 		switch {
 		case !now.Before(known.until):
 			delete(q.quarantined, part)
+			q.config.OnChange(part, false)
 		case now.Sub(known.reportedAt) >= quarantineReportPeriod && len(parts) < maxReportedParts:
 			known.reportedAt = now
 			q.quarantined[part] = known
@@ -241,7 +252,8 @@
 	q.suspicions = append(q.suspicions, suspicion{Suspicion: s, at: at, reportsLeft: reports})
 	if part, found := q.culprit(s.Parts); found {
 		q.quarantined[part] = quarantine{until: now.Add(quarantineTime)}
-		q.onNews()
+		q.config.OnChange(part, true)
+		q.config.OnNews()
 	}
 }
 
@@ -307,7 +319,10 @@
 		q.evict()
 	}
 	_, wasSuspected := q.quarantined[part]
-	delete(q.quarantined, part)
+	if wasSuspected {
+		delete(q.quarantined, part)
+		q.config.OnChange(part, false)
+	}
 	for i := range q.suspicions {
 		wasSuspected = wasSuspected || q.suspicions[i].at.After(known.at) && slices.Contains(q.suspicions[i].Parts, part)
 	}
--- a/state/quarantiner/parts_test.go
+++ b/state/quarantiner/parts_test.go
@@ -18,7 +18,9 @@
 	)
 	start := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
-	newParts := func() *quarantiner.PartQuarantiner { return quarantiner.NewParts(func() {}) }
+	newParts := func() *quarantiner.PartQuarantiner {
+		return quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}})
+	}
 	suspect := func(crash, request uint64, parts ...quarantiner.Part) quarantiner.Suspicion {
 		return quarantiner.Suspicion{Crash: crash, Request: request, Parts: parts}
 	}
