--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -94,7 +94,7 @@
 	}
 	if call.Model != "" {
 		line.Str("model", call.Model).Str("adapter", call.Adapter).
-			Strs("parts", call.SharedPartIDs()).
+			Uints64("parts", call.PartHashes()).
 			Float64("prompt_tokens", call.PromptTokens).Float64("output_tokens", call.MaxOutputTokens)
 	}
 	if record.Error != nil {
@@ -146,7 +146,7 @@
 		return
 	}
 	r.logger.Warn().Str("request_id", record.Call.ID).Str("upstream", record.Upstream).Str("result", record.Result).
-		Strs("parts", record.Call.SharedPartIDs()).Int("events", record.Events).Dur("took", record.Duration).
+		Uints64("parts", record.Call.PartHashes()).Int("events", record.Events).Dur("took", record.Duration).
 		AnErr("cause", record.Cause).Msg("attempt ended")
 }
 
--- a/protocol/proxy/call.go
+++ b/protocol/proxy/call.go
@@ -51,25 +51,25 @@
 	Tokens float64
 }
 
-// SharedPartIDs returns the IDs of the segments of the prompt that other requests may
-// have in common with this one: all but the last.
-func (c *Call) SharedPartIDs() []string {
+// PartHashes returns the hashes of the IDs of the prompt's segments that other requests
+// may have in common with this one: of all but the last.
+func (c *Call) PartHashes() []uint64 {
 	if len(c.PromptSegments) == 0 {
 		return nil
 	}
-	ids := make([]string, 0, len(c.PromptSegments)-1)
+	hashes := make([]uint64, 0, len(c.PromptSegments)-1)
 	for _, segment := range c.PromptSegments[:len(c.PromptSegments)-1] {
-		ids = append(ids, segment.ID)
+		hashes = append(hashes, xxhash.Sum64String(segment.ID))
 	}
-	return ids
+	return hashes
 }
 
-// sharedParts identifies the segments of the prompt that SharedPartIDs returns.
+// sharedParts returns the parts that PartHashes identifies.
 func (c *Call) sharedParts() []quarantiner.Part {
-	ids := c.SharedPartIDs()
-	parts := make([]quarantiner.Part, len(ids))
-	for i, id := range ids {
-		parts[i] = quarantiner.Part(xxhash.Sum64String(id))
+	hashes := c.PartHashes()
+	parts := make([]quarantiner.Part, len(hashes))
+	for i, hash := range hashes {
+		parts[i] = quarantiner.Part(hash)
 	}
 	return parts
 }
