--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,11 +26,6 @@
 	registrationInterval = 200 * time.Millisecond
 )
 
-// prompt is the header of a request whose prompt has two shared parts.
-func prompt(first, second string, number int) map[string]string {
-	return map[string]string{"X-Prompt-Prefix": fmt.Sprintf("%s:50,%s:30,%x:20", first, second, 0xe0000000+number)}
-}
-
 // engineConfig returns the configuration of an engine whose streams take some time.
 func engineConfig(number int, isCloseDelimited bool) platformtest.UpstreamConfig {
 	return platformtest.UpstreamConfig{
@@ -57,7 +51,7 @@
 	GinkgoHelper()
 	f := startHostedFleet(4)
 	f.replaceEngines(8, isCloseDelimited, func(execution platformtest.Execution) platformtest.Behaviour {
-		if strings.Contains(execution.Header.Get("X-Prompt-Prefix"), crashingPart) {
+		if execution.HasPromptPart(crashingPart) {
 			return platformtest.EndEngine
 		}
 		return platformtest.Serve
@@ -120,7 +114,7 @@
 	count := 0
 	for _, u := range f.AllUpstreams() {
 		for _, arrival := range u.Arrivals() {
-			if arrival.At.After(after) && strings.Contains(arrival.Header.Get("X-Prompt-Prefix"), crashingPart) {
+			if arrival.At.After(after) && arrival.HasPromptPart(crashingPart) {
 				count++
 			}
 		}
@@ -150,7 +144,7 @@
 		})
 		send := func(number int) int {
 			r := notesRequest()
-			r.Body, r.Header = fmt.Sprint("lost ", number), prompt("aa00", "bb00", number)
+			r.Body, r.PromptParts = fmt.Sprint("lost ", number), []string{"aa00", "bb00"}
 			return f.sendTo(number%len(f.Instances), r).Status
 		}
 		isLosing.Store(true)
@@ -168,19 +162,19 @@
 	// Guards against requests that end one engine after the other since no two of them
 	// are alike, and against refusing sound requests that share other parts with them.
 	DescribeTable("stop reaching engines, and requests with their other parts stay served",
-		func(isCloseDelimited bool, path string, crashing func(number int) map[string]string) {
+		func(isCloseDelimited bool, path string, crashing func(number int) []string) {
 			f := startCrashingFleet(isCloseDelimited)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			sound := f.startFlood(ctx, 20*time.Millisecond, func(number int) platformtest.Request {
-				header := prompt("aa00", fmt.Sprintf("bb%02d", number%6), number)
-				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("sound ", number), Header: header}
+				parts := []string{"aa00", fmt.Sprintf("bb%02d", number%6)}
+				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("sound ", number), PromptParts: parts}
 			})
 			time.Sleep(time.Second)
 			var crashes atomic.Int64
 			poison := f.startFlood(ctx, 170*time.Millisecond, func(number int) platformtest.Request {
 				crashes.Add(1)
-				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("crash ", number), Header: crashing(number)}
+				return platformtest.Request{Path: path, Model: platformtest.Model, Body: fmt.Sprint("crash ", number), PromptParts: crashing(number)}
 			})
 			time.Sleep(4*stableTime + 2*time.Second)
 			cancel()
@@ -194,18 +188,14 @@
 			Expect(served).To(BeNumerically(">=", sent/2))
 		},
 		Entry("as the second part, after a common first one", false, platformtest.StreamingPath,
-			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+			func(int) []string { return []string{"aa00", crashingPart} }),
 		Entry("as the second part, after different first ones", false, platformtest.StreamingPath,
-			func(number int) map[string]string {
-				return prompt(fmt.Sprintf("aa%02d", number%3), crashingPart, number)
-			}),
+			func(number int) []string { return []string{fmt.Sprintf("aa%02d", number%3), crashingPart} }),
 		Entry("as the first part", false, platformtest.StreamingPath,
-			func(number int) map[string]string {
-				return prompt(crashingPart, fmt.Sprintf("bb%02d", number%6), number)
-			}),
+			func(number int) []string { return []string{crashingPart, fmt.Sprintf("bb%02d", number%6)} }),
 		Entry("in streams that may be resumed", false, platformtest.ResumablePath,
-			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+			func(int) []string { return []string{"aa00", crashingPart} }),
 		Entry("in responses that end with their connection", true, platformtest.StreamingPath,
-			func(number int) map[string]string { return prompt("aa00", crashingPart, number) }),
+			func(int) []string { return []string{"aa00", crashingPart} }),
 	)
 })
