--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/resolver"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 // Timing and limits of an instance.
@@ -99,6 +100,7 @@
 	allotter    *allotter.Allotter
 	quarantiner *quarantiner.Quarantiner
 	parts       *quarantiner.PartQuarantiner
+	throttler   *throttler.Throttler
 	demand      *demandMeter
 	reporter    *reporter
 	observer    *observer.Observer
@@ -140,6 +142,7 @@
 		},
 	}
 	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart})
+	i.throttler = throttler.New(throttler.Config{OnChange: i.logRateLimit})
 	i.bounds.Store(&settings.Bounds)
 	i.reporter = newReporter(i.logger, time.Now)
 	i.registerGauges()
@@ -181,7 +184,8 @@
 			}
 			return 0
 		},
-		"crocushollow_planning_fence": func() float64 { return float64(i.elector.LeaderToken()) },
+		"crocushollow_limited_upstreams": func() float64 { return float64(i.throttler.ActiveLimits()) },
+		"crocushollow_planning_fence":    func() float64 { return float64(i.elector.LeaderToken()) },
 	}
 	for name, read := range gauges {
 		i.reporter.set.NewGauge(name, read)
@@ -274,6 +278,7 @@
 		}),
 		Quarantiner:    i.quarantiner,
 		Parts:          i.parts,
+		Throttler:      i.throttler,
 		Sender:         i.egress,
 		HasEnded:       i.engines.HasEnded,
 		RequestAdapter: i.requestAdapter,
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -150,6 +150,13 @@
 		AnErr("cause", record.Cause).Msg("attempt ended")
 }
 
+// RateLimitInvalid implements proxy.Observer.
+func (r *reporter) RateLimitInvalid(upstream string, err error) {
+	if r.allowLine("attempt") {
+		r.logger.Warn().Err(err).Str("upstream", upstream).Msg("rate limit of upstream ignored")
+	}
+}
+
 // ServeHTTP writes the metrics in the Prometheus text format.
 func (r *reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	r.set.WritePrometheus(w)
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -21,6 +21,7 @@
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 func TestProxy(t *testing.T) {
@@ -136,6 +137,7 @@
 
 func (discardObserver) CallEnded(proxy.CallRecord)       {}
 func (discardObserver) AttemptEnded(proxy.AttemptRecord) {}
+func (discardObserver) RateLimitInvalid(string, error)   {}
 
 const (
 	upstreamCount = 300
@@ -178,6 +180,7 @@
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
 		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
+		Throttler: throttler.New(throttler.Config{OnChange: func(throttler.Statement) {}}),
 		RequestAdapter: func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
 	})
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 // tracer creates the spans of calls and attempts. Its name is part of exported
@@ -29,6 +30,8 @@
 type Observer interface {
 	CallEnded(record CallRecord)
 	AttemptEnded(record AttemptRecord)
+	// RateLimitInvalid receives a rate limit of an upstream that cannot be decoded.
+	RateLimitInvalid(upstream string, err error)
 }
 
 // AttemptRecord describes a finished attempt.
@@ -86,6 +89,7 @@
 	Budgeter    *budgeter.Budgeter
 	Quarantiner *quarantiner.Quarantiner
 	Parts       *quarantiner.PartQuarantiner
+	Throttler   *throttler.Throttler
 	Sender      Sender
 	// HasEnded reports whether an incarnation of an engine has certainly ended.
 	HasEnded func(ctx context.Context, upstream *catalog.Upstream) bool
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -17,6 +17,7 @@
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 // run is the state of one call across its attempts.
@@ -302,6 +303,7 @@
 // handleResponse classifies a response and forwards it to the caller.
 func (r *run) handleResponse(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
 	r.record.Attempts++
+	r.observeRateLimit(&reservation.Upstream, response)
 	if response.NotRun {
 		r.record.Cause = errNotRun
 		return selector.Refused, r.afterNotRun()
@@ -324,6 +326,22 @@
 	errNoEvents         = errors.New("the stream has no events with IDs")
 )
 
+// observeRateLimit records the limit that a response names for the requests to its
+// upstream. A complete response without one ends the limit; the upstream may send
+// refusals and errors without it.
+func (r *run) observeRateLimit(upstream *catalog.Upstream, response *Response) {
+	config := &r.proxy.config
+	switch limit := response.RateLimit; {
+	case limit == nil && response.Verified && !response.NotRun && response.Status < http.StatusInternalServerError:
+		config.Throttler.Observe(upstream, throttler.Limit{})
+	case limit == nil:
+	case limit.Err != nil:
+		config.Observer.RateLimitInvalid(upstream.ID, limit.Err)
+	default:
+		config.Throttler.Observe(upstream, throttler.Limit{IsActive: true, PerSecond: limit.PerSecond})
+	}
+}
+
 // writeBuffered reads a whole response and sends it to the caller.
 func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
 	buffer := newResponseBuffer(&r.proxy.buffered, maxResponseBytes)
--- a/protocol/proxy/sender.go
+++ b/protocol/proxy/sender.go
@@ -41,6 +41,17 @@
 	// Verified reports that the response belongs to the call and comes from an
 	// upstream, not from an intermediary.
 	Verified bool
+	// RateLimit is the limit that the response names for the requests to its upstream. It
+	// is nil if the response names none.
+	RateLimit *RateLimit
+}
+
+// RateLimit is the limit of the requests to an upstream that a response names.
+type RateLimit struct {
+	// PerSecond is the rate in requests per second, over all instances.
+	PerSecond float64
+	// Err is set if the value could not be decoded.
+	Err error
 }
 
 // SendError reports an attempt without a response.
