Hold the rate limits that upstreams name, over all instances

Callers saw nothing; engines in need got 2.8 and 3.5 requests a second after they had asked for 1 and 1.4 from all instances together.

Class: a bound that an upstream states at run time and that holds for all instances, like the cold start limit, which comes from the table.

Change: instances tell each other at once what an upstream has said, with versions in place of clocks (state/throttler). Each counts the requests that it has sent to a limited upstream within the quota's window, as a part of the load that instances exchange anyway, so that the sums of aggregators and their repair after losses hold for it too (state/selector). Instances that do not hear each other keep to their part. Calls that only limited upstreams could serve are rejected at once, with the time to the next request as Retry-After.

Evidence: the four specs fail before and pass now.

--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -78,7 +78,7 @@
 			a.self = next
 		}
 	}
-	if len(heartbeat.Placements) == 0 && len(heartbeat.Crashes) == 0 && len(heartbeat.FeedUpdates) == 0 && heartbeat.Parts == nil {
+	if !heartbeat.hasRelayedEvents() {
 		return
 	}
 	events := heartbeat.events()
--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -9,6 +9,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 // Peer identifies an instance and lists the addresses that reach it.
@@ -147,6 +148,8 @@
 	// Parts is news about prompt parts that may crash upstreams. It is nil if there is
 	// none.
 	Parts *quarantiner.PartReport `cbor:"14,keyasint,omitempty"`
+	// RateLimits holds what upstreams have said about their rate limits.
+	RateLimits []throttler.Statement `cbor:"15,keyasint,omitempty"`
 }
 
 // IsPartial reports whether the heartbeat carries only events and not the status
@@ -159,15 +162,27 @@
 	partial := NewPartial()
 	partial.From, partial.Crashes = h.From, h.Crashes
 	partial.AdapterRequests, partial.Placements, partial.FeedUpdates = h.AdapterRequests, h.Placements, h.FeedUpdates
-	partial.Parts = h.Parts
+	partial.Parts, partial.RateLimits = h.Parts, h.RateLimits
 	return &partial
 }
 
+// hasRelayedEvents reports whether the heartbeat has events that aggregators relay.
+func (h *Heartbeat) hasRelayedEvents() bool {
+	return len(h.Placements) > 0 || len(h.Crashes) > 0 || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0
+}
+
 // NewPartial returns an empty partial heartbeat.
 func NewPartial() Heartbeat { return Heartbeat{UptimeSeconds: -1} }
 
 // Validate implements encoder.Validator.
-func (h Heartbeat) Validate() error { return h.From.Validate() }
+func (h Heartbeat) Validate() error {
+	for i := range h.RateLimits {
+		if err := h.RateLimits[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return h.From.Validate()
+}
 
 // Uptime returns the time since the sender's start.
 func (h *Heartbeat) Uptime() time.Duration { return time.Duration(h.UptimeSeconds) * time.Second }
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -83,7 +83,7 @@
 		Draining:      i.draining.Load(),
 		Ready:         i.isReady(),
 		UptimeSeconds: int64(now.Sub(i.startedAt) / time.Second),
-		Loads:         i.selector.Loads(),
+		Loads:         i.selector.Loads(now),
 		WorkspaceUses: i.allotter.ReportUsage(now),
 		Demand:        i.demand.report(),
 		Crashes:       i.quarantiner.RecentCrashes(maxReportedCrashes, now),
@@ -109,6 +109,7 @@
 	if heartbeat.Parts != nil {
 		i.parts.Merge(heartbeat.Parts, now)
 	}
+	i.throttler.Merge(heartbeat.RateLimits, now)
 	if heartbeat.IsPartial() {
 		return
 	}
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -90,6 +90,9 @@
 	// partsChanged has one element while there is news about prompt parts that crash
 	// upstreams.
 	partsChanged chan struct{}
+	// rateLimitsChanged has one element while there is news about the rate limits of
+	// upstreams.
+	rateLimitsChanged chan struct{}
 	// limitsTableVersion is the version of the table whose limits the allotter
 	// uses. Only handleSiteChange accesses it, whose calls do not overlap.
 	limitsTableVersion int64
@@ -121,13 +124,14 @@
 // its peers.
 func New(settings Settings, link gossiper.Link, logger zerolog.Logger) *Instance {
 	i := &Instance{
-		settings:     settings,
-		logger:       logger.With().Str("instance", settings.Instance.ID).Logger(),
-		startedAt:    time.Now(),
-		done:         make(chan struct{}),
-		loadChanged:  make(chan struct{}, 1),
-		partsChanged: make(chan struct{}, 1),
-		quarantiner:  quarantiner.New(),
+		settings:          settings,
+		logger:            logger.With().Str("instance", settings.Instance.ID).Logger(),
+		startedAt:         time.Now(),
+		done:              make(chan struct{}),
+		loadChanged:       make(chan struct{}, 1),
+		partsChanged:      make(chan struct{}, 1),
+		rateLimitsChanged: make(chan struct{}, 1),
+		quarantiner:       quarantiner.New(),
 
 		placementQueue: newPlacementQueue(),
 		demand:         newDemandMeter(time.Now),
@@ -142,7 +146,9 @@
 		},
 	}
 	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart})
-	i.throttler = throttler.New(throttler.Config{OnChange: i.logRateLimit})
+	i.throttler = throttler.New(throttler.Config{
+		IsRegistered: i.isRegistered, OnNews: func() { signal(i.rateLimitsChanged) }, OnChange: i.logRateLimit,
+	})
 	i.bounds.Store(&settings.Bounds)
 	i.reporter = newReporter(i.logger, time.Now)
 	i.registerGauges()
@@ -203,6 +209,9 @@
 		AvailabilityZone: i.self.AvailabilityZone,
 		ColdRateShare:    i.coldRateShare,
 		OnLoadChange:     func() { signal(i.loadChanged) },
+		RateLimit:        i.throttler.Limit,
+		QuotaShare:       i.quotaShare,
+		RandFloat64:      rand.Float64,
 	})
 	i.site = newSiteTracker(i.selector, time.Now)
 	i.observer = observer.New(observer.Config{
@@ -405,6 +414,7 @@
 	group.Go(func() error { return i.broadcastLoadChanges(ctx) })
 	group.Go(func() error { return i.broadcastPlacements(ctx) })
 	group.Go(func() error { return i.broadcastParts(ctx) })
+	group.Go(func() error { return i.broadcastRateLimits(ctx) })
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
--- a/daemon/hosted/site_test.go
+++ b/daemon/hosted/site_test.go
@@ -7,6 +7,7 @@
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/coordination/observer"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 // An instance that is ready with a table but without upstreams refuses every call,
@@ -27,7 +28,7 @@
 		{"upstreams only", observer.View{UpstreamsReadAt: readAt}, false},
 		{"both", observer.View{Catalog: table, OperatorsReadAt: readAt, UpstreamsReadAt: readAt}, true},
 	} {
-		choices := selector.New(selector.Config{OnLoadChange: func() {}})
+		choices := selector.New(selector.Config{OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 		site := newSiteTracker(choices, time.Now)
 		site.onChange = func() {}
 		site.setView(&c.view)
--- a/integration/hosted_ratelimit_test.go
+++ b/integration/hosted_ratelimit_test.go
@@ -86,7 +86,7 @@
 	return value
 }
 
-var _ = Describe("A rate limit that an upstream names", Label("known-red"), func() {
+var _ = Describe("A rate limit that an upstream names", func() {
 	// Guards against instances that each send what the limit allows all of them.
 	It("binds all instances together, also when it changes, and ends when it is no longer named", func() {
 		f := startHostedFleet(4)
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -171,7 +171,7 @@
 		id := fmt.Sprint("i-", i)
 		upstreams[id] = &catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4, StartUnixMilli: 1}
 	}
-	choices := selector.New(selector.Config{ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}})
+	choices := selector.New(selector.Config{ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 	choices.SetTopology(selector.Topology{Catalog: table, Upstreams: upstreams})
 	p := proxy.New(proxy.Config{
 		Catalog: func() *catalog.Catalog { return table }, Selector: choices,
@@ -180,7 +180,7 @@
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
 		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
-		Throttler: throttler.New(throttler.Config{OnChange: func(throttler.Statement) {}}),
+		Throttler:      throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
 		RequestAdapter: func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
 	})
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -38,7 +38,8 @@
 	deadline time.Time
 	// priority orders the waiting calls. Lower values come first.
 	priority int
-	// reservation receives the reservation once an upstream is chosen.
+	// reservation receives the reservation once an upstream is chosen, or nil if no
+	// upstream will accept the call soon.
 	reservation chan *selector.Reservation
 	// result is the result of the last selection for this call. It is Chosen if
 	// none was made, because other calls for the same model were always ahead.
@@ -102,11 +103,11 @@
 			return false
 		}
 		reservation, result := q.config.Selector.Choose(w.request, now)
-		if reservation != nil {
+		w.result = result
+		if reservation != nil || result == selector.RateLimited {
 			w.reservation <- reservation
 			return true
 		}
-		w.result = result
 		blocked[key] = true
 		q.requestAdapter(w.request, result, now)
 		return false
@@ -129,20 +130,23 @@
 }
 
 // enqueue returns a reservation at once if an upstream is free and no call for the
-// same service, model and adapter waits. Otherwise it adds the call to the queue.
+// same service, model and adapter waits. It returns no waiter and no reservation if the
+// upstreams accept no more requests. Otherwise it adds the call to the queue.
 func (q *queue) enqueue(request *selector.Request, deadline time.Time, priority int) (*waiter, *selector.Reservation) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
 	w := &waiter{request: request, deadline: deadline, priority: priority, reservation: make(chan *selector.Reservation, 1)}
+	request.IsWaiting = false
 	if !q.hasWaiterFor(request) {
 		reservation, result := q.config.Selector.Choose(request, now)
-		if reservation != nil {
+		if reservation != nil || result == selector.RateLimited {
 			return nil, reservation
 		}
 		w.result = result
 		q.requestAdapter(request, result, now)
 	}
+	request.IsWaiting = true
 	index, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	q.waiters = slices.Insert(q.waiters, index, w)
 	q.notify()
@@ -182,14 +186,17 @@
 	startedAt := config.Now()
 	defer func() { r.record.QueueTime += config.Now().Sub(startedAt) }()
 	w, reservation := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.route.Priority)
-	if reservation != nil {
+	switch {
+	case reservation != nil:
 		return reservation, selector.Chosen
+	case w == nil:
+		return nil, selector.RateLimited
 	}
 	timer := time.NewTimer(w.deadline.Sub(startedAt))
 	defer timer.Stop()
 	select {
 	case reservation := <-w.reservation:
-		return reservation, selector.Chosen
+		return reservation, w.result
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -212,6 +219,10 @@
 	return r.call.ArrivedAt.Add(wait)
 }
 
+// maxRateLimitRetryAfter bounds the delay after which a caller may retry a call that all
+// upstreams are too limited for. By then the planner may have loaded the model elsewhere.
+const maxRateLimitRetryAfter = 1500 * time.Millisecond
+
 // retryAfterByResult is the delay after which a caller may retry a call that no
 // upstream was found for.
 var retryAfterByResult = map[selector.Result]time.Duration{
@@ -227,6 +238,9 @@
 	if r.mayHaveRun {
 		return errUpstreamFailed
 	}
+	if result == selector.RateLimited {
+		return errRateLimited.WithRetryAfter(min(r.proxy.config.Selector.RateLimitDelay(&r.request), maxRateLimitRetryAfter))
+	}
 	return rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded,
 		"no upstream was free in time: "+result.String()).WithRetryAfter(retryAfterByResult[result])
 }
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -331,14 +331,15 @@
 // refusals and errors without it.
 func (r *run) observeRateLimit(upstream *catalog.Upstream, response *Response) {
 	config := &r.proxy.config
+	now := config.Now()
 	switch limit := response.RateLimit; {
 	case limit == nil && response.Verified && !response.NotRun && response.Status < http.StatusInternalServerError:
-		config.Throttler.Observe(upstream, throttler.Limit{})
+		config.Throttler.Observe(upstream, throttler.Limit{}, now)
 	case limit == nil:
 	case limit.Err != nil:
 		config.Observer.RateLimitInvalid(upstream.ID, limit.Err)
 	default:
-		config.Throttler.Observe(upstream, throttler.Limit{IsActive: true, PerSecond: limit.PerSecond})
+		config.Throttler.Observe(upstream, throttler.Limit{IsActive: true, PerSecond: limit.PerSecond}, now)
 	}
 }
 
--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -19,6 +19,9 @@
 	WaitingTokens float64 `cbor:"2,keyasint,omitempty"`
 	// CacheTokens counts the prompt and output tokens of all requests in flight.
 	CacheTokens float64 `cbor:"3,keyasint,omitempty"`
+	// LimitedSends counts the requests that were sent within the window of the quota of
+	// an upstream with a rate limit.
+	LimitedSends int `cbor:"4,keyasint,omitempty"`
 }
 
 // Plus returns the sum of two loads.
@@ -30,6 +33,7 @@
 // add adds other multiplied by times, which may be negative.
 func (l *Load) add(other Load, times int) {
 	l.InFlight += times * other.InFlight
+	l.LimitedSends += times * other.LimitedSends
 	l.WaitingTokens = max(l.WaitingTokens+float64(times)*other.WaitingTokens, 0)
 	l.CacheTokens = max(l.CacheTokens+float64(times)*other.CacheTokens, 0)
 }
@@ -131,13 +135,14 @@
 }
 
 // Loads returns this instance's load on each upstream where it has requests in
-// flight.
-func (s *Selector) Loads() map[string]Load {
+// flight, or requests that count towards a quota.
+func (s *Selector) Loads(now time.Time) map[string]Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateQuotas(now)
 	loads := make(map[string]Load)
 	for id, c := range s.candidates {
-		if c.ownLoad.InFlight > 0 {
+		if c.ownLoad.InFlight > 0 || c.ownLoad.LimitedSends > 0 {
 			loads[id] = c.ownLoad
 		}
 	}
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -24,6 +24,7 @@
 		c.coldSendsInWindow(now)
 		c.coldSends = append(c.coldSends, now)
 	}
+	s.recordLimitedSend(c, now)
 	return r
 }
 
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 const (
@@ -56,6 +57,8 @@
 	Prefixes []Prefix
 	// Excluded lists the IDs of upstreams that must not be chosen.
 	Excluded []string
+	// IsWaiting means that the request was not sent when it arrived.
+	IsWaiting bool
 }
 
 // Prefix is the first part of a prompt, which other prompts may share.
@@ -79,6 +82,9 @@
 	Busy
 	// AdapterAbsent means that the model is loaded but not the adapter.
 	AdapterAbsent
+	// RateLimited means that the upstreams that have loaded the model and the adapter
+	// ask for fewer requests.
+	RateLimited
 	// ModelAbsent means that upstreams accept requests but none has loaded the
 	// model.
 	ModelAbsent
@@ -88,7 +94,7 @@
 
 // String implements fmt.Stringer.
 func (r Result) String() string {
-	return [...]string{"chosen", "busy", "adapter_absent", "model_absent", "no_upstream"}[r]
+	return [...]string{"chosen", "busy", "adapter_absent", "rate_limited", "model_absent", "no_upstream"}[r]
 }
 
 // Config configures a Selector.
@@ -101,6 +107,12 @@
 	// OnLoadChange is called when this instance's load on an upstream has changed.
 	// It must not block.
 	OnLoadChange func()
+	// RateLimit returns the limit that an upstream asks for.
+	RateLimit func(upstream *catalog.Upstream) throttler.Limit
+	// QuotaShare divides a number of requests to an upstream among the instances.
+	QuotaShare func(upstream string, requests int) QuotaShare
+	// RandFloat64 returns a random number in [0, 1).
+	RandFloat64 func() float64
 }
 
 // Topology is the set of upstreams, with the state of their zones.
@@ -143,7 +155,13 @@
 	peerLoad Load
 	health   health
 	// coldSends holds the times of recent requests, for the cold start limit.
-	coldSends      []time.Time
+	coldSends []time.Time
+	// limitedSends holds the times of the requests that count towards the quota of an
+	// upstream with a rate limit. It is empty without a limit.
+	limitedSends []time.Time
+	// acceptance is the fraction of the requests that are considered for an upstream with
+	// a rate limit. It is above 0 and at most 1.
+	acceptance     float64
 	cachedPrefixes prefixCache
 }
 
@@ -168,7 +186,7 @@
 	for id, upstream := range topology.Upstreams {
 		c := s.candidates[id]
 		if c == nil || c.upstream.StartUnixMilli != upstream.StartUnixMilli || c.upstream.Address != upstream.Address {
-			c = &candidate{hash: xxhash.Sum64String(id), cachedPrefixes: newPrefixCache()}
+			c = &candidate{hash: xxhash.Sum64String(id), cachedPrefixes: newPrefixCache(), acceptance: 1}
 		}
 		c.upstream = upstream
 		candidates[id] = c
@@ -238,6 +256,9 @@
 			return AdapterAbsent
 		}
 	}
+	if !s.rateLimitAllows(c, request, now) {
+		return RateLimited
+	}
 	if c.health.inBackoff(now) || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
--- a/state/selector/selector_test.go
+++ b/state/selector/selector_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
 func TestSelector(t *testing.T) {
@@ -47,6 +48,7 @@
 		AvailabilityZone: "za",
 		ColdRateShare:    func(*catalog.Service, string) int { return coldRateShare },
 		OnLoadChange:     func() {},
+		RateLimit:        func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} },
 	})
 	created.SetTopology(s)
 	return created
@@ -95,7 +97,7 @@
 			Expect(result).To(Equal(want))
 		}
 		other := newSelector(topology(engine("e1", "za", m0)), 100)
-		other.SetPeerLoads("node-2", s.Loads(), start)
+		other.SetPeerLoads("node-2", s.Loads(start), start)
 		_, result := other.Choose(request("m0", ""), start)
 		Expect(result).To(Equal(selector.Busy))
 	})
@@ -144,7 +146,7 @@
 		first.Release(selector.Served, start)
 		first.Release(selector.Served, start)
 		second.Release(selector.Served, start)
-		Expect(s.Loads()["e1"].InFlight).To(Equal(1))
+		Expect(s.Loads(start)["e1"].InFlight).To(Equal(1))
 	})
 
 	It("prefers the engine that has cached a prefix of the prompt", func() {
@@ -231,7 +233,7 @@
 		restarted := engine("e1", "za", m0)
 		restarted.StartUnixMilli = 5
 		s.SetTopology(topology(restarted))
-		Expect(s.Loads()).To(BeEmpty())
+		Expect(s.Loads(start)).To(BeEmpty())
 	})
 })
 
