Load models in demand elsewhere while their engines ask for fewer requests

A call whose model only limited engines hold is rejected, although engines without a limit could serve it once they have loaded the model. The plan now counts no replica on a limited engine for a model in demand, and gives limited engines no further models.

--- a/coordination/planner/engine.go
+++ b/coordination/planner/engine.go
@@ -195,6 +195,7 @@
 
 			AvailabilityZone: e.state.AvailabilityZone,
 			IsOccupied:       e.isOccupied(now),
+			IsLimited:        site.LimitedUpstreams[id],
 		}
 		for _, name := range slices.Concat(e.state.HostCachedModels, e.state.DiskCachedModels) {
 			planned.CachedModels[name] = true
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -79,6 +79,8 @@
 	Upstreams map[string]*catalog.Upstream
 	// ZonesOutOfService holds the availability zones that get no new work.
 	ZonesOutOfService map[string]bool
+	// LimitedUpstreams holds the upstreams that ask for fewer requests.
+	LimitedUpstreams map[string]bool
 }
 
 // Config configures a Planner. All fields are required.
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -254,7 +254,7 @@
 	i.planner = planner.New(planner.Config{
 		Engines:          i.engines,
 		Leadership:       i.elector,
-		Site:             i.site.registeredSite,
+		Site:             i.plannedSite,
 		Demand:           i.demand.total,
 		PublishPlacement: i.publishPlacement,
 		Logger:           i.logger,
--- a/daemon/hosted/ratelimits.go
+++ b/daemon/hosted/ratelimits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
+	"github.com/crocushollow/crocushollow/coordination/planner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
 )
@@ -54,6 +55,19 @@
 	return share
 }
 
+// plannedSite returns the site that the planner works on.
+func (i *Instance) plannedSite() planner.Site {
+	site := i.site.registeredSite()
+	if i.throttler.ActiveLimits() == 0 {
+		return site
+	}
+	site.LimitedUpstreams = make(map[string]bool)
+	for id, upstream := range site.Upstreams {
+		site.LimitedUpstreams[id] = i.throttler.Limit(upstream).IsActive
+	}
+	return site
+}
+
 // isRegistered reports whether an incarnation of an upstream is registered.
 func (i *Instance) isRegistered(upstream string, startUnixMilli int64) bool {
 	registered := i.site.current.Load().upstreams[upstream]
--- a/state/stocker/stocker.go
+++ b/state/stocker/stocker.go
@@ -50,6 +50,9 @@
 	// IsOccupied means that the engine accepts no order now, for example
 	// because it is executing one.
 	IsOccupied bool
+	// IsLimited means that the engine asks for fewer requests than its demand. It gets no
+	// more models, and models in demand need a replica on another engine.
+	IsLimited bool
 }
 
 func (e *Engine) has(model string) bool {
@@ -101,8 +104,12 @@
 	slices.Sort(p.modelNames)
 	for _, e := range in.Engines {
 		for i := range e.LoadedModels {
-			p.replicas[e.LoadedModels[i].Model]++
-			p.loaded[e.LoadedModels[i].Model]++
+			name := e.LoadedModels[i].Model
+			if e.IsLimited && in.Demand[name] >= idleDemand {
+				continue
+			}
+			p.replicas[name]++
+			p.loaded[name]++
 		}
 	}
 	p.computeDesired()
@@ -121,8 +128,12 @@
 // memory budget is used up.
 func (p *plan) computeDesired() {
 	var budget float64
+	unlimited := 0
 	for _, e := range p.in.Engines {
-		budget += e.MemoryMB * plannedMemoryFraction
+		if !e.IsLimited {
+			unlimited++
+			budget += e.MemoryMB * plannedMemoryFraction
+		}
 	}
 	for _, name := range p.modelNames {
 		p.desired[name] = 1
@@ -131,7 +142,7 @@
 	for {
 		best, bestRatio := "", 0.0
 		for _, name := range p.modelNames {
-			if p.desired[name] >= len(p.in.Engines) || p.in.Models[name].MemoryMB > budget {
+			if p.desired[name] >= unlimited || p.in.Models[name].MemoryMB > budget {
 				continue
 			}
 			if ratio := p.plannedDemand(name) / float64(p.desired[name]); ratio > bestRatio {
@@ -191,7 +202,7 @@
 func (p *plan) placeReplica(model catalog.Model) bool {
 	var best *placement
 	for _, e := range p.in.Engines {
-		if e.IsOccupied || e.has(model.Name) || model.MemoryMB > e.MemoryMB || p.isLastAvailable(e) {
+		if e.IsOccupied || e.IsLimited || e.has(model.Name) || model.MemoryMB > e.MemoryMB || p.isLastAvailable(e) {
 			continue
 		}
 		pl := p.placementOn(e, model)
--- a/state/stocker/stocker_test.go
+++ b/state/stocker/stocker_test.go
@@ -96,6 +96,25 @@
 }
 
 var _ = Describe("Plan", func() {
+	// Guards against a model in demand whose only replicas are on engines that ask for
+	// fewer requests, and against moving the models without demand too.
+	It("loads the models in demand on engines without a rate limit", func() {
+		f := newFleet(3, 5)
+		f.load(0, "m00")
+		f.load(0, "m01")
+		for engine := 1; engine < 3; engine++ {
+			for _, model := range []string{"m02", "m03", "m04"} {
+				f.load(engine, model)
+			}
+		}
+		f.engines[0].IsLimited = true
+		f.demand["m00"] = 0.2
+		f.run(20)
+		Expect(f.replicas("m00")).To(BeNumerically(">", 1))
+		Expect(f.replicas("m01")).To(Equal(1))
+		Expect(f.engines[0].LoadedModels).To(HaveLen(2))
+	})
+
 	It("gives every model a replica", func() {
 		f := newFleet(12, 15)
 		f.run(100)
