Name rate limits and restore the store from copies in the soak test

Two faults of the kinds of LIMIT and CONFIG come among the others: upstreams name rate limits for 9 s, and the store returns from a copy while operators write their records again after 1 s. The check rate_limit has the operators' bound, and finds a corrupted history.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -37,6 +37,11 @@
 	minLeadershipGap = 3 * time.Second
 	// minServedShare is the minimum share of calls that are served after recovery.
 	minServedShare = 0.9
+	// An upstream that names a rate limit may get rateLimitOvershoot times what that allows
+	// in rateLimitWindow, and rateLimitSlack requests more.
+	rateLimitWindow    = 4 * time.Second
+	rateLimitOvershoot = 1.5
+	rateLimitSlack     = 5.0
 	// A call counts this many tokens against the workspace's limit.
 	tokensPerModelCall = 120.0
 	tokensPerPlainCall = 100.0
@@ -93,6 +98,7 @@
 	j.checkCalls()
 	j.checkUpstreams()
 	j.checkLimit()
+	j.checkRateLimits()
 	j.checkRetries()
 	j.checkOrders()
 	j.checkTable()
@@ -275,6 +281,37 @@
 	return maxSum
 }
 
+// checkRateLimits checks that upstreams get no more requests than the rate limit that they
+// name allows. Instances with a fault of their own are excused.
+func (j *checker) checkRateLimits() {
+	for _, limit := range j.rateLimits {
+		index := slices.IndexFunc(j.upstreams, func(b upstream) bool { return b.incarnation == limit.incarnation })
+		if index < 0 {
+			continue
+		}
+		var samples []usageSample
+		for _, arrival := range j.upstreams[index].arrivals {
+			c := j.byID[arrival.ID]
+			if c == nil || arrival.At.Before(limit.from.Add(stabilizationTime)) || arrival.At.After(limit.until) || !j.hasRun(c.instance, arrival.At) {
+				continue
+			}
+			samples = append(samples, usageSample{arrival.At, 1})
+		}
+		bound := rateLimitOvershoot*limit.perSecond*rateLimitWindow.Seconds() + rateLimitSlack
+		if maxSum := maxSumInWindow(samples, rateLimitWindow); maxSum > bound {
+			j.fail("rate_limit", "%s got %.0f requests in %s at a limit of %.2f a second, bound %.1f",
+				limit.incarnation, maxSum, rateLimitWindow, limit.perSecond, bound)
+		}
+	}
+}
+
+// hasRun reports whether an instance was without faults of its own for the stabilization
+// time before a time.
+func (j *checker) hasRun(instance string, at time.Time) bool {
+	from := at.Add(-stabilizationTime)
+	return !hasOverlap(j.instanceFaults[instance], from, at) && !hasOverlap(j.plannedStops[instance], from, at)
+}
+
 // checkRetries checks the retry budget of each service. Every arrival of a call
 // after its first one counts as a retry.
 func (j *checker) checkRetries() {
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -70,6 +71,12 @@
 		Entry("an order that ran twice", "at_most_once", func(h *history) {
 			h.upstreams[0].runs = append(h.upstreams[0].runs, h.upstreams[0].runs[0])
 		}),
+		Entry("an upstream that gets more than the rate limit that it names allows", "rate_limit", func(h *history) {
+			h.addRateLimit(rateLimit{interval: interval{at(20), at(30)}, incarnation: "i-c/1", perSecond: 1})
+			for n := range 12 {
+				h.add(fmt.Sprint("limited-", n), lookUp, 24+float64(n)/4)
+			}
+		}),
 		Entry("an order that was executed and refused", "true_refusals", func(h *history) { h.calls[0].status = 503 }),
 		Entry("a response to another call", "own_answers", func(h *history) { h.calls[0].body = platformtest.PlainResponseBody("9") }),
 		Entry("a stream with a missing event", "whole_answers", func(h *history) { h.add("3", notes, 20).events = []int{1, 3, 4, 5, 6} }),
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -22,9 +22,11 @@
 	storeFaults  []interval
 	// edits holds the changes of the table, zoneOutages the times in which a zone
 	// was out of service, and drainedAt when an upstream announced that it drains.
-	edits         []edit
-	zoneOutages   map[string][]interval
-	drainedAt     map[string]time.Time
+	edits       []edit
+	zoneOutages map[string][]interval
+	drainedAt   map[string]time.Time
+	// rateLimits holds the times in which upstreams named a rate limit.
+	rateLimits    []rateLimit
 	upstreams     []upstream
 	recoveryFrom  time.Time
 	recoveryUntil time.Time
@@ -38,6 +40,14 @@
 	return s.from.Before(until) && (s.until.IsZero() || s.until.After(from))
 }
 
+// rateLimit is a rate limit that an incarnation of an upstream named for some time, in
+// requests per second.
+type rateLimit struct {
+	interval
+	incarnation string
+	perSecond   float64
+}
+
 // edit is a change of the table. It lists the added paths and the valid keys after the change.
 type edit struct {
 	at    time.Time
@@ -78,6 +88,12 @@
 	faults      []string
 }
 
+func (h *history) addRateLimit(limit rateLimit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rateLimits = append(h.rateLimits, limit)
+}
+
 func newHistory() *history {
 	return &history{
 		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -33,6 +33,13 @@
 	meanRestartDelay = 500 * time.Millisecond
 	// stopGrace is the time between SIGTERM and SIGKILL in a planned stop.
 	stopGrace = 8 * time.Second
+	// rewriteDelay is the time from the return of a restored store until the operators'
+	// records are written again.
+	rewriteDelay = time.Second
+	// rateLimitTime is how long an upstream names a rate limit, and maxRateLimit the
+	// highest one in requests per second.
+	rateLimitTime = 9 * time.Second
+	maxRateLimit  = 6.0
 	// drainServeTime is how long a draining upstream still serves requests.
 	drainServeTime = 2500 * time.Millisecond
 )
@@ -148,7 +155,7 @@
 		i.killProcess, i.killProcess, i.pauseProcess, i.pauseProcess, i.stopProcess, i.stopProcess,
 		i.cutStoreLink, i.cutStoreLink, i.degradeStore, i.degradeStore, i.compactStore, i.moveLeadership,
 		i.degradeLink, i.degradeLink, i.blackholeLink, i.crashUpstream, i.drainUpstream,
-		i.editTable, i.editTable, i.takeZoneOut,
+		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore,
 	}
 	faults[i.random.IntN(len(faults))]()
 }
@@ -392,3 +399,41 @@
 		i.busy["zone"] = false
 	}})
 }
+
+// limitUpstream makes an upstream name a rate limit in its responses.
+func (i *injector) limitUpstream() {
+	id := i.pickUpstream()
+	engine := i.soaker.site.Upstreams()[id]
+	if engine == nil || i.busy["limit "+id] {
+		return
+	}
+	i.busy["limit "+id] = true
+	perSecond := i.random.Float64() * maxRateLimit
+	engine.SetRateLimit(perSecond)
+	from := time.Now()
+	i.scheduled = append(i.scheduled, scheduledAction{from.Add(rateLimitTime), func() {
+		engine.RemoveRateLimit()
+		i.soaker.history.addRateLimit(rateLimit{incarnation: id + "/" + engine.Address(), perSecond: perSecond, interval: interval{from, time.Now()}})
+		i.busy["limit "+id] = false
+	}})
+}
+
+// restoreStore has the store return from a copy of some seconds before. What was written
+// since then is lost until it is written again.
+func (i *injector) restoreStore() {
+	if i.busy["copy"] {
+		return
+	}
+	i.busy["copy"] = true
+	earlier := i.soaker.site.Store.Copy()
+	i.scheduleEnd(func() {
+		from := time.Now()
+		i.soaker.site.Store.Restore(earlier)
+		i.soaker.history.addStoreFault(from, from.Add(rewriteDelay))
+		i.scheduled = append(i.scheduled, scheduledAction{from.Add(rewriteDelay), func() {
+			i.soaker.site.RewriteOperatorRecords()
+			i.soaker.history.addStoreFault(from, time.Now())
+			i.busy["copy"] = false
+		}})
+	})
+}
