--- a/coordination/elector/elector.go
+++ b/coordination/elector/elector.go
@@ -4,9 +4,9 @@
 // A group of the platform names the leader. At the start of each term the leader
 // appends a record to a log, and the record's position becomes the term's fencing
 // token. Positions grow and are never reused, also when the log is restored from a
-// copy, so that no two terms have the same token. The previous leader may not know yet that it has lost leadership. A new
-// leader therefore waits until that one has stopped and the takeover delay has
-// passed since its last order.
+// copy, so that no two terms have the same token. The previous leader may not know
+// yet that it has lost leadership. A new leader therefore waits until that one has
+// stopped and the takeover delay has passed since its last order.
 package elector
 
 import (
