Load adapters elsewhere that only limited engines have loaded

Found by reading the code, not by a trace: the planner leader takes an adapter on a limited engine for served and drops the requests for it, so calls whose adapter only limited engines have loaded wait and are refused, although other engines hold the model and load an adapter in milliseconds.

Change: a limited engine does not count for an adapter while another engine holds the model. Evidence: the new spec fails three times of three before, and passes three times of three.

--- a/coordination/planner/adapters.go
+++ b/coordination/planner/adapters.go
@@ -67,11 +67,11 @@
 		delete(p.pendingRequests, request)
 		return
 	}
-	if p.republishIfServed(request, now) {
+	engines := p.availableEngines(site, request.Service, service.Engine, now)
+	if p.republishIfServed(request, stocker.RedundantLimitedEngines(engines, request.Model), now) {
 		delete(p.pendingRequests, request)
 		return
 	}
-	engines := p.availableEngines(site, request.Service, service.Engine, now)
 	step, ok := stocker.PlaceAdapter(engines, model, request.Adapter, p.lastRequestedLoad)
 	if !ok {
 		return
@@ -90,10 +90,10 @@
 // placement.
 const republishPeriod = 300 * time.Millisecond
 
-// republishIfServed reports whether an engine serves the requested adapter. It
-// publishes the placement of those engines again, since the requester does not
-// know of it.
-func (p *Planner) republishIfServed(request AdapterRequest, now time.Time) bool {
+// republishIfServed reports whether an engine serves the requested adapter, and is not
+// ignored. It publishes the placement of those engines again, since the requester does
+// not know of it.
+func (p *Planner) republishIfServed(request AdapterRequest, ignored map[string]bool, now time.Time) bool {
 	isServed := false
 	name := catalog.AdapterName{Model: request.Model, Adapter: request.Adapter}
 	for _, e := range p.engines {
@@ -101,7 +101,7 @@
 			if now.Sub(e.publishedAt) > republishPeriod {
 				p.publish(e, now)
 			}
-			isServed = true
+			isServed = isServed || !ignored[e.state.ID]
 		}
 	}
 	return isServed
--- a/coordination/planner/planner_test.go
+++ b/coordination/planner/planner_test.go
@@ -164,6 +164,21 @@
 	return false
 }
 
+// enginesServing returns the engines that hold a model, and that adapter of it unless
+// it is empty.
+func (f *fakeFleet) enginesServing(name catalog.AdapterName) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for id, e := range f.engines {
+		e.finishLoad()
+		if adapters, found := e.models[name.Model]; found && (name.Adapter == "" || slices.Contains(adapters, name.Adapter)) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // leadership implements planner.Leadership. This instance is the leader while
 // the token is positive.
 type leadership struct {
@@ -190,6 +205,8 @@
 	planner    *planner.Planner
 	mu         sync.Mutex
 	demand     map[string]float64
+	// limited holds the engines that ask for fewer requests.
+	limited map[string]bool
 	// published holds the last published placement of each engine.
 	published map[string]catalog.Upstream
 }
@@ -225,7 +242,11 @@
 	f := &fixture{fakeFleet: fleet, leadership: &leadership{}, demand: make(map[string]float64), published: make(map[string]catalog.Upstream)}
 	f.planner = planner.New(planner.Config{
 		Engines: fleet, Leadership: f.leadership, PublishPlacement: f.recordPlacement, Logger: zerolog.Nop(), Now: time.Now,
-		Site: func() planner.Site { return planner.Site{Catalog: table, Upstreams: upstreams} },
+		Site: func() planner.Site {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return planner.Site{Catalog: table, Upstreams: upstreams, LimitedUpstreams: f.limited}
+		},
 		Demand: func() map[string]float64 {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -302,6 +323,31 @@
 		Expect(f.violations).To(BeEmpty())
 	})
 
+	// Guards against calls that wait for an adapter which only an engine with a rate limit
+	// has loaded, although other engines hold its model.
+	It("loads the adapters of limited engines on other engines", func() {
+		model, adapter := catalog.AdapterName{Model: "m0"}, catalog.AdapterName{Model: "m0", Adapter: "a3"}
+		f := start(newFakeFleet(1, "e1", "e2", "e3", "e4"))
+		f.setDemand("m0", 3)
+		f.leadership.setToken(1)
+		Eventually(func() int { return len(f.enginesServing(model)) }, "5s").Should(BeNumerically(">=", 2))
+		request := func() []string {
+			f.planner.RequestAdapter(planner.AdapterRequest{Service: "writer", Model: adapter.Model, Adapter: adapter.Adapter})
+			return f.enginesServing(adapter)
+		}
+		Eventually(request, "5s", "50ms").ShouldNot(BeEmpty())
+		limited := make(map[string]bool)
+		for _, id := range f.enginesServing(adapter) {
+			limited[id] = true
+		}
+		Expect(len(limited)).To(BeNumerically("<", len(f.enginesServing(model))))
+		f.mu.Lock()
+		f.limited = limited
+		f.mu.Unlock()
+		isElsewhere := func(id string) bool { return !limited[id] }
+		Eventually(func() bool { return slices.ContainsFunc(request(), isElsewhere) }, "2s", "50ms").Should(BeTrue())
+	})
+
 	It("does not publish an adapter that is being unloaded while its requests still run", func() {
 		f := start(newFakeFleet(1, "e1", "e2"))
 		f.areAdaptersBusy = true
--- a/state/stocker/adapters.go
+++ b/state/stocker/adapters.go
@@ -25,8 +25,9 @@
 func PlaceAdapter(engines []*Engine, model catalog.Model, adapter string, lastUse AdapterLastUse) (AdapterStep, bool) {
 	var best *Engine
 	var bestRank uint64
+	ignored := RedundantLimitedEngines(engines, model.Name)
 	for _, e := range engines {
-		if e.IsOccupied || !e.has(model.Name) {
+		if e.IsOccupied || !e.has(model.Name) || ignored[e.ID] {
 			continue
 		}
 		rank := xxhash.Sum64String(e.ID + " " + model.Name + "/" + adapter)
@@ -55,12 +56,35 @@
 	return step, count < best.AdapterSlots || step.EvictAdapter != ""
 }
 
-// PreloadAdapters returns adapters that no engine holds, at most one for each
-// engine with a free slot. Their first requests then need not wait for a load.
+// RedundantLimitedEngines returns the engines with a rate limit that hold a model which another
+// engine without one holds too. Its adapters are better loaded there.
+func RedundantLimitedEngines(engines []*Engine, model string) map[string]bool {
+	limited := make(map[string]bool)
+	hasOther := false
+	for _, e := range engines {
+		switch {
+		case !e.has(model):
+		case e.IsLimited:
+			limited[e.ID] = true
+		default:
+			hasOther = true
+		}
+	}
+	if !hasOther {
+		return nil
+	}
+	return limited
+}
+
+// PreloadAdapters returns adapters that no engine without a rate limit holds, at most one
+// for each such engine with a free slot. Their first requests then need not wait for a load.
 func PreloadAdapters(engines []*Engine, models map[string]catalog.Model) []Step {
 	type name struct{ model, adapter string }
 	held := make(map[name]bool)
 	for _, e := range engines {
+		if e.IsLimited {
+			continue
+		}
 		for i := range e.LoadedModels {
 			for _, adapter := range e.LoadedModels[i].Adapters {
 				held[name{e.LoadedModels[i].Model, adapter}] = true
@@ -69,7 +93,7 @@
 	}
 	var steps []Step
 	for _, e := range engines {
-		if e.IsOccupied || e.adapterCount() >= e.AdapterSlots {
+		if e.IsOccupied || e.IsLimited || e.adapterCount() >= e.AdapterSlots {
 			continue
 		}
 		for i := range e.LoadedModels {
