--- a/integration/hosted_ratelimit_test.go
+++ b/integration/hosted_ratelimit_test.go
@@ -146,6 +146,40 @@
 		Expect(maxArrivals(limited, boundFrom, time.Now())).To(BeNumerically("<=", toleratedArrivals(1)))
 	})
 
+	// Guards against calls that are refused because only the limited engine has loaded their
+	// adapter, although another engine holds the model.
+	It("does not refuse calls whose adapter another engine can load", func() {
+		f := startHostedFleet(2)
+		const adapter = "a1"
+		var limited *platformtest.Upstream
+		Eventually(func() bool {
+			for _, upstream := range f.Upstreams() {
+				if upstream.HasLoaded(platformtest.Model, adapter) {
+					limited = upstream
+				}
+			}
+			return limited != nil
+		}, "5s", "20ms").Should(BeTrue())
+		limited.SetRateLimit(1)
+		ctx, stop := context.WithCancel(context.Background())
+		flood := f.startFlood(ctx, 100*time.Millisecond, func(int) platformtest.Request {
+			request := adviceRequest()
+			request.Model += "/" + adapter
+			return request
+		})
+		time.Sleep(stableTime + rateLimitWindow)
+		stop()
+		flood.done.Wait()
+		sent, served := 0, 0
+		for _, response := range flood.responses {
+			sent++
+			if response.Status == 200 && response.Complete {
+				served++
+			}
+		}
+		Expect(float64(served)).To(BeNumerically(">", 0.9*float64(sent)))
+	})
+
 	// Guards against calls that wait for an upstream until their deadline although its
 	// limit is used up.
 	It("rejects at once what no upstream can take", func() {
