--- a/daemon/hosted/ratelimits_test.go
+++ b/daemon/hosted/ratelimits_test.go
@@ -19,7 +19,9 @@
 	selectors []*selector.Selector
 	// hasChanges marks the instances whose load has changes that are not reported yet.
 	hasChanges []bool
-	names      []string
+	// loadedAt holds when each instance last had a load.
+	loadedAt []time.Time
+	names    []string
 	// groups holds the group of each instance. Instances of different groups are cut off
 	// from each other. views holds the fleet as each instance knows it.
 	groups []int
@@ -32,6 +34,9 @@
 	sentAt  []time.Time
 }
 
+// idleReportTime is how long an instance without a load still reports that it has none.
+const idleReportTime = 2 * time.Second
+
 type loadReport struct {
 	at      time.Time
 	from    int
@@ -41,7 +46,7 @@
 func newLimitedFleet(size int, perSecond float64, delay time.Duration, lossRate float64, seed uint64) *limitedFleet {
 	f := &limitedFleet{
 		random: rand.New(rand.NewPCG(seed, 1)), limit: throttler.Limit{IsActive: true, PerSecond: perSecond},
-		groups: make([]int, size), hasChanges: make([]bool, size), delay: delay, lossRate: lossRate,
+		groups: make([]int, size), hasChanges: make([]bool, size), loadedAt: make([]time.Time, size), delay: delay, lossRate: lossRate,
 	}
 	for n := range size {
 		f.names = append(f.names, fmt.Sprint("n", n))
@@ -103,7 +108,9 @@
 		changes := s.LoadChanges()
 		if isHeartbeat {
 			changes = s.Loads(now)
-			if _, found := changes["e1"]; !found {
+			if _, found := changes["e1"]; found {
+				f.loadedAt[from] = now
+			} else if now.Sub(f.loadedAt[from]) < idleReportTime {
 				changes = map[string]selector.Load{"e1": {}}
 			}
 		}
