Take a connection that is reset while it is opened for a rejected one in the demo

The check opens a connection for each request until the instance has gone, and took only a refused connection for one that was not accepted. A listener that closes resets connections that wait in its queue: the error is of the dial, so no request was sent. The check still fails for any reset after a connection is open.

--- a/cmd/crocushollow/platform.go
+++ b/cmd/crocushollow/platform.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -227,7 +228,7 @@
 		default:
 		}
 		response, err := d.send(ctx, last, platformtest.Request{Path: platformtest.IdempotentPath + "1"})
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if isConnectionRejected(err) {
 			// The instance closes its listener before it exits.
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -240,3 +241,11 @@
 		}
 	}
 }
+
+// isConnectionRejected reports whether no connection was established, so that no request
+// was sent. A listener that is closed resets the connections that wait in its queue.
+func isConnectionRejected(err error) bool {
+	var opErr *net.OpError
+	isReset := errors.As(err, &opErr) && opErr.Op == "dial" && errors.Is(err, syscall.ECONNRESET)
+	return isReset || errors.Is(err, syscall.ECONNREFUSED)
+}
