--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 }{
 	"late-copy":     {lateCopyOptions, runLateCopy},
 	"versions":      {versionsOptions, runVersions},
+	"late-accept":   {lateAcceptOptions, runLateAccept},
 	"repeated-term": {repeatedTermOptions, runRepeatedTerm},
 	"empty-resume":  {emptyResumeOptions, runEmptyResume},
 }
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -62,9 +62,11 @@
 
 // instance is a process of the system.
 type instance struct {
-	name     string
-	callers  string
-	ready    string
+	name      string
+	callers   string
+	ready     string
+	discovery string
+
 	command  *exec.Cmd
 	ended    chan struct{}
 	settings string
@@ -230,10 +232,10 @@
 	}
 	zones := []string{"akl", "hlz", "wlg"}
 	i := &instance{
-		name: fmt.Sprintf("front-%d", number), callers: addresses[0], ready: addresses[1],
+		name: fmt.Sprintf("front-%d", number), callers: addresses[0], ready: addresses[1], discovery: addresses[2],
 		ended: make(chan struct{}), settings: filepath.Join(s.folder, fmt.Sprintf("front-%d.toml", number)),
 	}
-	text := fmt.Sprintf(settingsText, i.name, zones[number%len(zones)], i.callers, i.ready, addresses[2], addresses[3], addresses[4], s.store.Address())
+	text := fmt.Sprintf(settingsText, i.name, zones[number%len(zones)], i.callers, i.ready, i.discovery, addresses[3], addresses[4], s.store.Address())
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
