--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -197,7 +197,6 @@
 		}
 		if late != nil {
 			_, _ = conn.Write(late)
-			late = nil
 		}
 		var keep bool
 		if keep, late = e.serveRequest(conn, request, body); !keep {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -46,33 +46,33 @@
 		fmt.Fprintln(os.Stderr, errUsage)
 		return exitNotRun
 	}
-	journal, err := newRecord(os.Args[2])
+	recorded, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer journal.Close()
-	s, err := startSite(c.options, journal)
+	defer func() { _ = recorded.Close() }()
+	s, err := startSite(c.options, recorded)
 	if err != nil {
-		journal.add("site not started: %v", err)
+		recorded.add("site not started: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer s.close()
 	s.closeOnSignal()
 	trouble := os.Getenv("TROUBLE") != "0"
-	journal.add("case %s, trouble %v", os.Args[1], trouble)
+	recorded.add("case %s, trouble %v", os.Args[1], trouble)
 	violations, err := c.run(s, trouble)
 	if err != nil {
-		journal.add("case not run: %v", err)
+		recorded.add("case not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	for _, violation := range violations {
-		journal.add("VIOLATION %s", violation)
+		recorded.add("VIOLATION %s", violation)
 		fmt.Println(violation)
 	}
-	journal.add("violations: %d", len(violations))
+	recorded.add("violations: %d", len(violations))
 	fmt.Printf("%s: %d violations\n", os.Args[1], len(violations))
 	if len(violations) > 0 {
 		return exitBroken
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -357,7 +357,7 @@
 		if err != nil {
 			continue
 		}
-		defer packets.Close()
+		defer func() { _ = packets.Close() }()
 		if addresses = append(addresses, address); len(addresses) == count {
 			return addresses, nil
 		}
