--- a/review/harness/late_accept_test.go
+++ b/review/harness/late_accept_test.go
@@ -24,7 +24,7 @@
 // Times of the disruption: the rolling restart stops an instance each stopGap. The calls
 // of the callers begin lateCall after the first SIGTERM, and last for lateCalls.
 const (
-	stopGap   = 300 * time.Millisecond
+	stopGap   = time.Second
 	lateCall  = 3100 * time.Millisecond
 	lateCalls = 400 * time.Millisecond
 )
