Continue streams only at the software version that began them

Cause: the version of a registration was not decoded, so the selector could not keep a stream at it.

Now a registration's version is decoded into catalog.SoftwareVersion, a stream remembers that of its first event, and only engines of that version are eligible for its further attempts. Without one the response breaks off at once; it waits up to 1 s for a busy one.

--- a/catalog/upstream.go
+++ b/catalog/upstream.go
@@ -56,6 +56,9 @@
 	// engine caches in host memory and on disk.
 	HostCachedModels []string `cbor:"14,keyasint,omitempty"`
 	DiskCachedModels []string `cbor:"15,keyasint,omitempty"`
+	// SoftwareVersion is the version of the upstream's software. It is unknown if an
+	// instance of an earlier release has relayed the registration.
+	SoftwareVersion SoftwareVersion `cbor:"16,keyasint,omitempty"`
 }
 
 // Serves reports whether the upstream serves a model and, unless adapter is
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -96,15 +96,15 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
-	blocked := make(map[string]bool)
+	blocked := make(map[waitKey]bool)
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-		key := w.request.Service + "\n" + w.request.Model + "\n" + w.request.Adapter
+		key := keyOf(w.request)
 		if blocked[key] {
 			return false
 		}
 		reservation, result := q.config.Selector.Choose(w.request, now)
 		w.result = result
-		if reservation != nil || result == selector.RateLimited {
+		if reservation != nil || isFinal(w.request, result) {
 			w.reservation <- reservation
 			return true
 		}
@@ -132,7 +132,7 @@
 // enqueue returns a reservation at once if an upstream is free and no call for the
 // same service, model and adapter waits. It returns no waiter and no reservation if the
 // upstreams accept no more requests. Otherwise it adds the call to the queue.
-func (q *queue) enqueue(request *selector.Request, deadline time.Time, priority int) (*waiter, *selector.Reservation) {
+func (q *queue) enqueue(request *selector.Request, deadline time.Time, priority int) (*waiter, *selector.Reservation, selector.Result) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
@@ -140,8 +140,8 @@
 	request.IsWaiting = false
 	if !q.hasWaiterFor(request) {
 		reservation, result := q.config.Selector.Choose(request, now)
-		if reservation != nil || result == selector.RateLimited {
-			return nil, reservation
+		if reservation != nil || isFinal(request, result) {
+			return nil, reservation, result
 		}
 		w.result = result
 		q.requestAdapter(request, result, now)
@@ -150,7 +150,24 @@
 	index, _ := slices.BinarySearchFunc(q.waiters, w, compareWaiters)
 	q.waiters = slices.Insert(q.waiters, index, w)
 	q.notify()
-	return w, nil
+	return w, nil, w.result
+}
+
+// waitKey identifies calls that the same upstreams can serve. Such calls are served in
+// the order of the queue.
+type waitKey struct {
+	service, model, adapter string
+	softwareVersion         catalog.SoftwareVersion
+}
+
+func keyOf(request *selector.Request) waitKey {
+	return waitKey{request.Service, request.Model, request.Adapter, request.SoftwareVersion}
+}
+
+// isFinal reports whether waiting cannot change the result of a selection soon: the
+// upstreams are rate-limited, or none is left that could continue the stream.
+func isFinal(request *selector.Request, result selector.Result) bool {
+	return result == selector.RateLimited || result == selector.NoUpstream && request.SoftwareVersion.IsKnown()
 }
 
 // compareWaiters orders calls by priority, then by deadline.
@@ -163,7 +180,7 @@
 
 func (q *queue) hasWaiterFor(request *selector.Request) bool {
 	return slices.ContainsFunc(q.waiters, func(w *waiter) bool {
-		return w.request.Service == request.Service && w.request.Model == request.Model && w.request.Adapter == request.Adapter
+		return keyOf(w.request) == keyOf(request)
 	})
 }
 
@@ -185,12 +202,9 @@
 	config := &r.proxy.config
 	startedAt := config.Now()
 	defer func() { r.record.QueueTime += config.Now().Sub(startedAt) }()
-	w, reservation := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.route.Priority)
-	switch {
-	case reservation != nil:
-		return reservation, selector.Chosen
-	case w == nil:
-		return nil, selector.RateLimited
+	w, reservation, result := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.route.Priority)
+	if w == nil {
+		return reservation, result
 	}
 	timer := time.NewTimer(w.deadline.Sub(startedAt))
 	defer timer.Stop()
@@ -209,8 +223,15 @@
 	return nil, w.result
 }
 
+// continuationWait is how long a stream that broke off waits for an upstream that can
+// continue it. Callers give up on a stream that pauses for 2 s.
+const continuationWait = time.Second
+
 // queueDeadline returns when the call stops waiting for an upstream.
 func (r *run) queueDeadline() time.Time {
+	if r.stream.events > 0 {
+		return r.proxy.config.Now().Add(continuationWait)
+	}
 	timeout := r.deadline.Sub(r.call.ArrivedAt)
 	wait := time.Duration(deadlineWaitFraction * float64(timeout))
 	if objective := r.route.LatencyObjective; objective > 0 && r.route.Kind == catalog.Streaming {
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -80,6 +80,7 @@
 	}
 	config.Budgeter.RecordRequest(r.request.Service, config.Now())
 	for {
+		r.request.SoftwareVersion = r.stream.softwareVersion
 		reservation, result := r.acquire(ctx)
 		if reservation == nil {
 			r.fail(ctx, r.noUpstreamError(result))
@@ -115,7 +116,7 @@
 func (r *run) mayRetry() bool {
 	config := &r.proxy.config
 	now := config.Now()
-	if !now.Before(r.deadline) {
+	if !now.Before(r.deadline) || !r.stream.canContinue() {
 		return false
 	}
 	if config.Quarantiner.Crashes(r.fingerprint, now) >= quarantiner.MaxCrashes {
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -31,6 +32,14 @@
 	bytesWithoutID int
 	// lastWriteAt is the time of the last write.
 	lastWriteAt time.Time
+	// softwareVersion is that of the upstream that sent the first event. It is unknown
+	// before, and if the upstream's is unknown.
+	softwareVersion catalog.SoftwareVersion
+}
+
+// canContinue reports whether another upstream may continue the stream.
+func (p *streamProgress) canContinue() bool {
+	return p.events == 0 || p.lastID != "" && p.softwareVersion.IsKnown()
 }
 
 // eventsOfAttempt returns the number of events that the current attempt has sent.
@@ -127,6 +136,9 @@
 	} else if r.stream.events == 0 {
 		reservation.MarkFirstByte()
 	}
+	if r.stream.events == 0 {
+		r.stream.softwareVersion = reservation.Upstream.SoftwareVersion
+	}
 	accepted, err := r.stream.advance(events)
 	if err != nil {
 		return err
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -174,7 +174,7 @@
 				return
 			}
 		}
-		if strings.Count(c.body, "data: ") > strings.Count(c.body, " of "+c.id+"\n")+1 {
+		if strings.Count(c.body, "data: ") > strings.Count(c.body, " of "+c.id+" by ")+1 {
 			j.fail("own_answers", "%s %s got events of another call", c.kind, c.id)
 		}
 		if c.isComplete && len(c.events) != eventsPerStream {
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,10 @@
 	OutputTokens float64
 	// Prefixes are prefixes of the prompt, from the shortest to the longest.
 	Prefixes []Prefix
+	// SoftwareVersion is the version of the software that the upstream must run, since it
+	// has begun the stream that the request continues. It is empty if any version may
+	// serve the request.
+	SoftwareVersion catalog.SoftwareVersion
 	// Excluded lists the IDs of upstreams that must not be chosen.
 	Excluded []string
 	// IsWaiting means that the request was not sent when it arrived.
@@ -165,6 +170,13 @@
 	cachedPrefixes prefixCache
 }
 
+// isSucceededBy reports whether a registration is that of another process than the
+// candidate's.
+func (c *candidate) isSucceededBy(upstream *catalog.Upstream) bool {
+	return c.upstream.StartUnixMilli != upstream.StartUnixMilli || c.upstream.Address != upstream.Address ||
+		c.upstream.SoftwareVersion != upstream.SoftwareVersion
+}
+
 // New returns a selector without upstreams.
 func New(config Config) *Selector {
 	return &Selector{
@@ -185,7 +197,7 @@
 	candidates := make(map[string]*candidate, len(topology.Upstreams))
 	for id, upstream := range topology.Upstreams {
 		c := s.candidates[id]
-		if c == nil || c.upstream.StartUnixMilli != upstream.StartUnixMilli || c.upstream.Address != upstream.Address {
+		if c == nil || c.isSucceededBy(upstream) {
 			c = &candidate{hash: xxhash.Sum64String(id), cachedPrefixes: newPrefixCache(), acceptance: 1}
 		}
 		c.upstream = upstream
@@ -208,7 +220,7 @@
 	bestCost := math.Inf(1)
 	result := NoUpstream
 	for _, c := range s.byService[request.Service] {
-		if isExcluded(request.Excluded, c.upstream.ID) {
+		if !request.allows(c.upstream) {
 			continue
 		}
 		eligibility := s.eligibility(c, request, service, now)
@@ -236,13 +248,12 @@
 	return service
 }
 
-func isExcluded(excluded []string, id string) bool {
-	for _, other := range excluded {
-		if other == id {
-			return true
-		}
+// allows reports whether the request may run on the upstream at all.
+func (r *Request) allows(upstream *catalog.Upstream) bool {
+	if r.SoftwareVersion.IsKnown() && upstream.SoftwareVersion != r.SoftwareVersion {
+		return false
 	}
-	return false
+	return !slices.Contains(r.Excluded, upstream.ID)
 }
 
 // eligibility returns Chosen if the request can be sent to the upstream now, and
