Accept requests in a shutdown only if they can end in it

Cause: a stopping instance accepted all calls for 3.5 s and aborted all at the end of the grace period, whatever they needed. While this was tried, a second fault of the path showed: http.Server.Shutdown drops requests that it reads after its begin, and idle connections are closed while their next request is read.

Now state/estimator tells from the last served and the running calls of a route how long a call takes. Calls that will not end in time are rejected at once as not run, strictly once callers have had time to learn of other instances. Open connections are answered until the last call has ended.

"Instances that are stopped one after the other" in integration failed before (both specs) and passes.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -22,8 +22,10 @@
 	"github.com/crocushollow/crocushollow/coordination/planner"
 	"github.com/crocushollow/crocushollow/platform"
 	"github.com/crocushollow/crocushollow/protocol/proxy"
+	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
+	"github.com/crocushollow/crocushollow/state/estimator"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/resolver"
 	"github.com/crocushollow/crocushollow/state/selector"
@@ -33,15 +35,23 @@
 // Timing and limits of an instance.
 const (
 	// discoveryTTL is how long callers may cache the addresses of instances. Some
-	// cache them for three times as long, which must fit into drainDelay and into the
-	// grace period of a shutdown.
-	discoveryTTL = time.Second
-	// drainDelay is how long the instance accepts new requests after a shutdown has
+	// cache them for three times as long, addressLifetime, which must fit into drainDelay
+	// and into the grace period of a shutdown.
+	discoveryTTL    = time.Second
+	addressLifetime = 3 * discoveryTTL
+	// drainDelay is how long the instance accepts new connections after a shutdown has
 	// begun.
 	drainDelay = 3500 * time.Millisecond
-	// requestReadDelay is the time from accepting a connection until its first
-	// request is read.
-	requestReadDelay = 100 * time.Millisecond
+	// lingerTime is how long an instance rejects calls before it stops, so that those on
+	// connections accepted until then get a response.
+	lingerTime = 200 * time.Millisecond
+	// idlePollInterval is the time between two checks whether all calls have ended.
+	idlePollInterval = 20 * time.Millisecond
+	// drainRetryAfter and restartRetryAfter are the times after which a caller may retry
+	// a request that an instance rejects while it shuts down: if another instance is
+	// ready, and if none is.
+	drainRetryAfter   = 50 * time.Millisecond
+	restartRetryAfter = time.Second
 	// killMargin is the time between the end of a graceful shutdown and the end of
 	// the grace period, when the process is killed.
 	killMargin = 700 * time.Millisecond
@@ -84,6 +94,10 @@
 	startedAt time.Time
 	done      chan struct{}
 	draining  atomic.Bool
+	// shutdown is nil before the shutdown.
+	shutdown atomic.Pointer[shutdownTimes]
+	// calls admits calls until the instance stops.
+	calls callGate
 	// loadChanged has one element while this instance's load on upstreams has
 	// changes that are not broadcast yet.
 	loadChanged chan struct{}
@@ -289,6 +303,8 @@
 		Quarantiner:    i.quarantiner,
 		Parts:          i.parts,
 		Throttler:      i.throttler,
+		Estimator:      estimator.New(),
+		Shutdown:       i.shutdownState,
 		Sender:         i.egress,
 		HasEnded:       i.engines.HasEnded,
 		RequestAdapter: i.requestAdapter,
@@ -366,8 +382,16 @@
 	return resolver.Instance{Address: peer.CallerAddress, AvailabilityZone: peer.AvailabilityZone, Capacity: peer.Capacity}
 }
 
+// errStopping rejects a call that arrives after the last one that the instance serves.
+var errStopping = rejecter.New(http.StatusServiceUnavailable, rejecter.InstanceShuttingDown, "the instance is stopping")
+
 // ServeCall implements platform.CallHandler.
 func (i *Instance) ServeCall(request *http.Request, call *proxy.Call, caller proxy.ResponseWriter) {
+	if !i.calls.enter() {
+		caller.WriteError(errStopping.WithRetryAfter(i.shutdownState().RetryAfter))
+		return
+	}
+	defer i.calls.leave()
 	i.proxy.Serve(request.Context(), call, caller)
 }
 
@@ -420,7 +444,7 @@
 		select {
 		case <-stop.Done():
 			stopElection()
-			i.shutDown(ctx, callers, listeners[callers])
+			i.shutDown(ctx, listeners[callers])
 		case <-ctx.Done():
 		}
 		cancel()
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -5,31 +5,99 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
+
+	"github.com/crocushollow/crocushollow/protocol/proxy"
 )
 
 // shutDown shuts the instance down gracefully: it removes the instance from service
-// discovery, serves new requests for drainDelay, and then waits for the requests in
-// flight.
-func (i *Instance) shutDown(ctx context.Context, callers *http.Server, listener net.Listener) {
+// discovery, accepts new connections for drainDelay, and then waits for the calls in
+// flight. Calls that arrive meanwhile are served if they will end in time. Those that arrive
+// last are rejected for lingerTime: http.Server.Shutdown would drop them.
+func (i *Instance) shutDown(ctx context.Context, listener net.Listener) {
+	now := time.Now()
+	endsAt := now.Add(time.Duration(i.bounds.Load().Grace) - killMargin)
+	ctx, cancel := context.WithDeadline(ctx, endsAt)
+	defer cancel()
+	i.shutdown.Store(&shutdownTimes{callersMoveBy: now.Add(addressLifetime), endsAt: endsAt})
 	i.draining.Store(true)
 	i.logger.Info().Msg("shutdown begins")
 	i.gossiper.Broadcast(i.buildHeartbeat())
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(i.bounds.Load().Grace)-killMargin)
-	defer cancel()
 	timer := time.NewTimer(drainDelay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	// The server drops requests that it reads after its Shutdown has begun. The
-	// delay lets it first read the requests on connections accepted until now.
 	_ = listener.Close()
-	time.Sleep(requestReadDelay)
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := i.calls.close(ctx); err != nil {
 		i.logger.Warn().Err(err).Msg("grace period expired with requests in flight")
+		return
+	}
+	time.Sleep(lingerTime)
+}
+
+// shutdownTimes are the times of a shutdown that has begun.
+type shutdownTimes struct{ callersMoveBy, endsAt time.Time }
+
+// shutdownState implements proxy.Config.Shutdown.
+func (i *Instance) shutdownState() proxy.Shutdown {
+	times := i.shutdown.Load()
+	if times == nil {
+		return proxy.Shutdown{}
+	}
+	retryAfter := restartRetryAfter
+	if len(i.gossiper.Fleet().Ready) > 0 {
+		retryAfter = drainRetryAfter
+	}
+	return proxy.Shutdown{CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt, RetryAfter: retryAfter}
+}
+
+// callGate counts the calls in flight and rejects calls once it is closed.
+type callGate struct {
+	mu       sync.Mutex
+	inFlight int
+	isClosed bool
+}
+
+// enter admits a call, which must leave once. It returns false if the gate is closed.
+func (g *callGate) enter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.isClosed {
+		g.inFlight++
+	}
+	return !g.isClosed
+}
+
+func (g *callGate) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+}
+
+// closeIfIdle closes the gate if no call is in flight, and reports whether it did.
+func (g *callGate) closeIfIdle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isClosed = g.isClosed || g.inFlight == 0
+	return g.isClosed
+}
+
+// close closes the gate once no call is in flight. It returns an error if the context ends
+// before.
+func (g *callGate) close(ctx context.Context) error {
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	for !g.closeIfIdle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
 func newServer(handler http.Handler) *http.Server {
--- /dev/null
+++ b/integration/hosted_shutdown_test.go
@@ -0,0 +1,141 @@
+package integration_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+// shutdownCall is a call to an instance that is being stopped.
+type shutdownCall struct {
+	platformtest.Response
+	// after is the time from the stop of the instance until the call was sent.
+	after time.Duration
+	err   error
+}
+
+// callUntilGone sends a request to an instance at each interval, over connections that are
+// kept open, until its process refuses connections.
+func (f *hostedFleet) callUntilGone(n int, interval time.Duration, r platformtest.Request) []shutdownCall {
+	r.APIKey = platformtest.APIKey
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	address := f.Instances[n].Settings.Listen.Callers
+	stoppedAt := time.Now()
+	f.Instances[n].Stop()
+	var mu sync.Mutex
+	var calls []shutdownCall
+	var pending sync.WaitGroup
+	isGone := false
+	for !isGone && time.Since(stoppedAt) < 10*time.Second {
+		pending.Go(func() {
+			call := shutdownCall{after: time.Since(stoppedAt)}
+			call.Response, call.err = platformtest.SendWith(context.Background(), client, address, r)
+			mu.Lock()
+			defer mu.Unlock()
+			isGone = isGone || errors.Is(call.err, syscall.ECONNREFUSED)
+			calls = append(calls, call)
+		})
+		time.Sleep(interval)
+		mu.Lock()
+		gone := isGone
+		mu.Unlock()
+		if gone {
+			break
+		}
+	}
+	pending.Wait()
+	return calls
+}
+
+var _ = Describe("Instances that are stopped one after the other", func() {
+	const (
+		eventInterval = 430 * time.Millisecond
+		// excusedTime is the time after the stop up to which a request may be cut at the
+		// end of the grace period.
+		excusedTime = 3 * time.Second
+	)
+
+	// startSlowFleet starts two instances with engines whose streams last for streamTime.
+	startSlowFleet := func() *hostedFleet {
+		GinkgoHelper()
+		f := startHostedFleet(2)
+		table := f.Table()
+		table.Version, table.TimeoutMs = table.Version+1, 15000
+		f.PutTable(table)
+		for _, id := range []string{"i-slow-1", "i-slow-2"} {
+			config := versionedEngine(id, "v1")
+			config.EventInterval, config.Slots = eventInterval, 128
+			f.StartUpstream(config)
+		}
+		f.DeregisterUpstream("i-a")
+		f.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		return f
+	}
+	stream := notesRequest()
+	stream.Header = map[string]string{"X-Deadline-Ms": "15000"}
+
+	// Guards against requests that an instance accepts when too little of the grace period
+	// is left for them, and cuts at its end.
+	It("complete the streams that they accept late, and reject the others as not run", func() {
+		f := startSlowFleet()
+		// The instances learn how long streams take.
+		for _, response := range f.sendConcurrently(140, stream) {
+			Expect(response.Complete).To(BeTrue())
+		}
+		results := make([][]shutdownCall, len(f.Instances))
+		var pending sync.WaitGroup
+		for n := range f.Instances {
+			pending.Go(func() { results[n] = f.callUntilGone(n, 60*time.Millisecond, stream) })
+			time.Sleep(time.Second)
+		}
+		pending.Wait()
+		runs := make(map[string]bool)
+		for _, execution := range f.Executions(platformtest.ModelService) {
+			runs[execution.ID] = true
+		}
+		for _, calls := range results {
+			served := 0
+			for _, call := range calls {
+				switch {
+				case call.Status == http.StatusOK && call.Complete:
+					served++
+				case call.Status == http.StatusOK:
+					Expect(call.after).To(BeNumerically("<", excusedTime), "stream cut after %d events", len(call.EventIDs()))
+				case call.Status == http.StatusServiceUnavailable:
+					Expect(runs).NotTo(HaveKey(call.ID))
+					Expect(call.Header.Get("Retry-After")).NotTo(BeEmpty())
+				default:
+					Expect(call.err).To(HaveOccurred())
+					Expect(runs).NotTo(HaveKey(call.ID))
+				}
+			}
+			// Streams that begin in the first second have over 6 s left and need 4.3 s.
+			Expect(served).To(BeNumerically(">=", 10))
+		}
+	})
+
+	// Guards against an instance that knows of no duration and accepts streams in the last
+	// seconds.
+	It("reject late streams of a route that they have not served before", func() {
+		f := startSlowFleet()
+		late := 0
+		for _, call := range f.callUntilGone(0, 100*time.Millisecond, stream) {
+			if call.after < excusedTime {
+				continue
+			}
+			late++
+			Expect(call.Status).To(Or(Equal(0), Equal(http.StatusServiceUnavailable)))
+		}
+		Expect(late).To(BeNumerically(">", 2))
+	})
+})
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
+	"github.com/crocushollow/crocushollow/state/estimator"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -180,6 +181,8 @@
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
 		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
+		Estimator:      estimator.New(),
+		Shutdown:       func() proxy.Shutdown { return proxy.Shutdown{} },
 		Throttler:      throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
 		RequestAdapter: func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
+	"github.com/crocushollow/crocushollow/state/estimator"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -90,7 +91,10 @@
 	Quarantiner *quarantiner.Quarantiner
 	Parts       *quarantiner.PartQuarantiner
 	Throttler   *throttler.Throttler
+	Estimator   *estimator.Estimator
 	Sender      Sender
+	// Shutdown returns the state of the instance's shutdown.
+	Shutdown func() Shutdown
 	// HasEnded reports whether an incarnation of an engine has certainly ended.
 	HasEnded func(ctx context.Context, upstream *catalog.Upstream) bool
 	// RequestAdapter requests the load of an adapter that no engine has loaded.
@@ -162,6 +166,8 @@
 		r.writeError(apiErr)
 		return
 	}
+	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
+	defer r.recordDuration()
 	r.tryUpstreams(ctx)
 }
 
@@ -194,6 +200,9 @@
 	if r.proxy.config.Parts.IsQuarantined(r.parts, now) {
 		return errPartCrashesUpstreams
 	}
+	if apiErr := r.checkShutdown(now); apiErr != nil {
+		return apiErr
+	}
 	r.addDemand()
 	return r.charge(now)
 }
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -15,6 +15,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/state/estimator"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -36,6 +37,8 @@
 	// charged is the cost that was taken from the workspace's rate limit.
 	charged float64
 	record  CallRecord
+	// running is nil until the call is admitted.
+	running *estimator.Run
 	// mayHaveRun reports that an upstream may have run the call.
 	mayHaveRun bool
 	// headerSent reports that the response header was sent to the caller.
@@ -86,6 +89,11 @@
 			r.fail(ctx, r.noUpstreamError(result))
 			return
 		}
+		if apiErr := r.checkShutdown(config.Now()); apiErr != nil && !r.mayHaveRun {
+			reservation.Release(selector.Abandoned, config.Now())
+			r.fail(ctx, apiErr)
+			return
+		}
 		if config.Parts.IsQuarantined(r.parts, config.Now()) {
 			reservation.Release(selector.Abandoned, config.Now())
 			r.fail(ctx, r.quarantineError())
--- /dev/null
+++ b/protocol/proxy/shutdown.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/state/estimator"
+)
+
+// Shutdown is the state of an instance's shutdown. It is zero before the shutdown.
+type Shutdown struct {
+	// CallersMoveBy is when the callers that keep addresses only for as long as they were
+	// told use other instances.
+	CallersMoveBy time.Time
+	// EndsAt is when the instance aborts the calls in flight.
+	EndsAt time.Time
+	// RetryAfter is the time after which another instance accepts calls.
+	RetryAfter time.Duration
+}
+
+// errShuttingDown rejects a call that would be aborted at the end of the shutdown.
+var errShuttingDown = rejecter.New(http.StatusServiceUnavailable, rejecter.InstanceShuttingDown,
+	"the instance is shutting down and the request may take longer than that")
+
+// checkShutdown rejects a call that may not end before the instance stops. Callers that
+// have had no time to learn of another instance may know none, so their calls are accepted
+// if they are likely to end. Later ones are accepted only if they will surely end.
+func (r *run) checkShutdown(now time.Time) *rejecter.Error {
+	shutdown := r.proxy.config.Shutdown()
+	if shutdown.EndsAt.IsZero() || !r.deadline.After(shutdown.EndsAt) {
+		return nil
+	}
+	left := shutdown.EndsAt.Sub(now)
+	estimate := r.proxy.config.Estimator.Estimate(r.estimatedRequest(), now)
+	isAccepted := estimate.IsKnown && estimate.Longest <= left
+	if r.call.ArrivedAt.Before(shutdown.CallersMoveBy) {
+		isAccepted = estimate.Likely <= left
+	}
+	if isAccepted {
+		return nil
+	}
+	return errShuttingDown.WithRetryAfter(shutdown.RetryAfter)
+}
+
+func (r *run) estimatedRequest() estimator.Request {
+	return estimator.Request{Route: r.route.Name, OutputTokens: r.call.MaxOutputTokens}
+}
+
+// recordDuration records how long the call took if it was served.
+func (r *run) recordDuration() {
+	record := &r.record
+	if record.Status != http.StatusOK || record.Aborted || record.CallerLeft {
+		r.running.Failed()
+		return
+	}
+	r.running.Served(record.TimeToFirstByte, r.proxy.config.Now())
+}
