Use a connection for each request ID once only

Cause: the retry at an engine that loads the adapter used the connection of the first send. A late copy of the refusal there bears the same X-Request-Id and was taken for the answer to the retry. Ruled out: untrue refusals, and copies on other connections.

Now each repeat of a call to an upstream has its own connection pool, and orders and reports have one apart from those of requests.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -259,13 +259,14 @@
 		IsCandidate:   i.isCandidate,
 		Logger:        i.logger,
 	})
-	i.egress = platform.NewEgress(platform.EgressConfig{
+	egressConfig := platform.EgressConfig{
 		DialTimeout:             dialTimeout,
 		IdleTimeout:             upstreamIdleTimeout,
 		TCPUserTimeout:          tcpUserTimeout,
 		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
-	})
-	i.engines = platform.NewEngineClient(i.self.Instance, i.egress)
+	}
+	i.egress = platform.NewEgress(egressConfig)
+	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig)
 	i.planner = planner.New(planner.Config{
 		Engines:          i.engines,
 		Leadership:       i.elector,
@@ -456,6 +457,7 @@
 	i.logger.Info().Str("callers", i.settings.Listen.Callers).Bool("first_start", i.settings.Instance.FirstStart).Msg("instance started")
 	err = group.Wait()
 	i.egress.Close()
+	i.engines.Close()
 	i.logger.Info().AnErr("cause", err).Msg("instance stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -46,6 +46,8 @@
 	// stream is how much of a streamed response the caller received.
 	stream  streamProgress
 	request selector.Request
+	// sentTo lists the IDs of the upstreams that the call was sent to, in order.
+	sentTo []string
 	// adapterRetries counts the retries on engines that have not loaded the
 	// adapter yet.
 	adapterRetries int
@@ -185,6 +187,7 @@
 		Workspace:   r.record.Workspace,
 		TimeLeft:    r.deadline.Sub(sentAt),
 		LastEventID: r.lastEventID(),
+		Repeat:      r.countSend(reservation.Upstream.ID),
 		Retryable:   r.route.IsRetryable(),
 	})
 	var outcome selector.Outcome
@@ -205,6 +208,18 @@
 	return next
 }
 
+// countSend records a send to an upstream and returns the number of sends to it before.
+func (r *run) countSend(upstream string) int {
+	repeats := 0
+	for _, earlier := range r.sentTo {
+		if earlier == upstream {
+			repeats++
+		}
+	}
+	r.sentTo = append(r.sentTo, upstream)
+	return repeats
+}
+
 func resultName(outcome selector.Outcome) string {
 	return [...]string{"served", "abandoned", "refused", "failed", "unreachable"}[outcome]
 }
