Go on with a shutdown when SIGTERM is repeated

Cause: the second SIGTERM ended the process at once with all requests in flight.

Now only a second interrupt from a terminal ends `crocushollowd hosted` at once; the platform has SIGKILL for that. `crocushollowd run` is as before.

"completes its streams when SIGTERM is repeated" in integration failed before and passes.

--- a/cmd/crocushollowd/hosted.go
+++ b/cmd/crocushollowd/hosted.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, shutdownCtx, release := signalContexts()
+	// The platform ends a process that takes too long with SIGKILL. Until then a shutdown
+	// goes on, however often SIGTERM is repeated.
+	ctx, shutdownCtx, release := signalContexts(os.Interrupt)
 	defer release()
 	instance := hosted.New(settings, link, logger)
 	settingsReloader := &reloader{file: c.Config, instance: instance, logger: logger, done: make(chan struct{})}
--- a/cmd/crocushollowd/main.go
+++ b/cmd/crocushollowd/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -87,15 +88,15 @@
 	if err != nil {
 		return err
 	}
-	ctx, shutdownCtx, release := signalContexts()
+	ctx, shutdownCtx, release := signalContexts(syscall.SIGTERM, os.Interrupt)
 	defer release()
 	err = daemon.New(settings, logger, version()).Run(ctx, shutdownCtx, listeners)
 	return errors.Join(err, stopTracing(context.Background()))
 }
 
-// signalContexts returns a context that is canceled by the second termination
-// signal, and one that is canceled by the first.
-func signalContexts() (ctx, shutdownCtx context.Context, release func()) {
+// signalContexts returns a context that is canceled by the first termination signal,
+// shutdownCtx, and one that is canceled by a later signal if that is one of forced.
+func signalContexts(forced ...os.Signal) (ctx, shutdownCtx context.Context, release func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	shutdownCtx, shutdown := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 2)
@@ -103,7 +104,8 @@
 	go func() {
 		<-signals
 		shutdown()
-		<-signals
+		for !slices.Contains(forced, <-signals) {
+		}
 		cancel()
 	}()
 	return ctx, shutdownCtx, func() { shutdown(); cancel() }
--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -18,9 +20,9 @@
 	"github.com/crocushollow/crocushollow/platform/platformtest"
 )
 
-// hostedSettings returns the settings of an instance on a site and its readiness
-// address.
-func hostedSettings(site *platformtest.Platform) (text, readiness string) {
+// hostedSettings returns the settings of an instance on a site, and its addresses for
+// readiness probes and for callers.
+func hostedSettings(site *platformtest.Platform) (text, readiness, callers string) {
 	GinkgoHelper()
 	listenAddress := func() string {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -28,7 +30,7 @@
 		defer listener.Close()
 		return listener.Addr().String()
 	}
-	readiness = listenAddress()
+	readiness, callers = listenAddress(), listenAddress()
 	return fmt.Sprintf(`
 [instance]
 id = "node-1"
@@ -52,7 +54,7 @@
 cold_overshoot = 1.5
 cold_slack = 5
 lease = "3000ms"
-`, listenAddress(), readiness, listenAddress(), listenAddress(), site.Store.Address()), readiness
+`, callers, readiness, listenAddress(), listenAddress(), site.Store.Address()), readiness, callers
 }
 
 var _ = Describe("crocushollowd hosted", func() {
@@ -89,7 +91,7 @@
 	It("reloads its settings on SIGHUP and keeps running if they are invalid", func() {
 		site := platformtest.NewPlatform()
 		DeferCleanup(site.Close)
-		text, readiness := hostedSettings(site)
+		text, readiness, _ := hostedSettings(site)
 		session, file := startDaemon(text)
 		Eventually(isReady(readiness), "5s").Should(BeTrue())
 		Expect(os.WriteFile(file, []byte(strings.Replace(text, `grace = "8s"`, `grace = "5s"`, 1)), 0o600)).To(Succeed())
@@ -102,4 +104,33 @@
 		session.Signal(syscall.SIGTERM)
 		Eventually(session, "8s").Should(gexec.Exit(0))
 	})
+
+	// Guards against streams that break off because the platform repeats SIGTERM within the
+	// grace period, as overlapping rolling restarts do.
+	It("completes its streams when SIGTERM is repeated", func() {
+		site := platformtest.NewPlatform()
+		DeferCleanup(site.Close)
+		text, readiness, callers := hostedSettings(site)
+		session, _ := startDaemon(text)
+		Eventually(isReady(readiness), "5s").Should(BeTrue())
+		responses := make(chan platformtest.Response)
+		go func() {
+			defer GinkgoRecover()
+			response, err := platformtest.Send(context.Background(), callers, platformtest.Request{
+				Path: platformtest.LongPath + "1", Model: platformtest.Model, Body: "prompt", APIKey: platformtest.APIKey,
+				Header: map[string]string{"X-Deadline-Ms": "12000"},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			responses <- response
+		}()
+		time.Sleep(500 * time.Millisecond)
+		for range 3 {
+			session.Signal(syscall.SIGTERM)
+			time.Sleep(300 * time.Millisecond)
+		}
+		response := <-responses
+		Expect(response.Complete).To(BeTrue())
+		Expect(response.EventIDs()).To(HaveLen(platformtest.LongStreamEvents))
+		Eventually(session, "8s").Should(gexec.Exit(0))
+	})
 })
