Let the soak see streams that are cut, mixed or repeated

Its streams lasted milliseconds, SIGTERM came once, no engine sent a late copy of a refusal or had other software, and callers neither repeated nor resumed.

Half of the callers now send streams of 4 s. Callers repeat rejected calls and take up broken streams, naming the attempt that brought the first event. SIGTERM comes to all instances in turn, half of the time twice; two of four engines have another software version; refusals come twice. planned_stop also covers streams that began with 200 and excuses only what the operators' rule does; one_version is new.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,18 +19,29 @@
 // callKind names a type of call. It decides whether a call may run more than once.
 type callKind string
 
-// The call kinds. An order and a notes call may run at most once.
+// The call kinds. An order and a stream that cannot be resumed may run at most once.
 const (
 	order  callKind = "order"
 	lookUp callKind = "look_up"
 	notes  callKind = "notes"
 	advice callKind = "advice"
+	// guide and longAdvice are streams that last for seconds. The second may be resumed.
+	guide      callKind = "guide"
+	longAdvice callKind = "long_advice"
 	// probe is a look-up on a route, or with a key, that table edits add and remove.
 	probe callKind = "probe"
 )
 
 // isRepeatable reports whether a call may run more than once.
-func (k callKind) isRepeatable() bool { return k == lookUp || k == advice || k == probe }
+func (k callKind) isRepeatable() bool { return k == lookUp || k.isResumable() || k == probe }
+
+// isResumable reports whether a call is a stream that may be resumed.
+func (k callKind) isResumable() bool { return k == advice || k == longAdvice }
+
+// isStream reports whether a call is a stream, and isLong whether it lasts for seconds.
+func (k callKind) isStream() bool { return k == notes || k == advice || k.isLong() }
+
+func (k callKind) isLong() bool { return k == guide || k == longAdvice }
 
 // Timing of the callers.
 const (
@@ -40,10 +52,16 @@
 	// callTimeout bounds a call. A caller cancels earlyCancelShare of its calls
 	// after earlyCancelTimeout already.
 	callTimeout        = 5 * time.Second
+	longCallTimeout    = 14 * time.Second
 	earlyCancelShare   = 0.03
 	earlyCancelTimeout = 150 * time.Millisecond
 	// resolveTimeout bounds a discovery request.
 	resolveTimeout = time.Second
+	// maxTries is the number of attempts of a caller for one call. It repeats a call that
+	// was rejected and takes up a stream that broke off.
+	maxTries = 3
+	// longCallers is the fraction of the callers that send calls of the long kinds only.
+	longCallers = 0.5
 )
 
 // caller sends calls one after the other. It keeps using addresses from earlier
@@ -54,12 +72,17 @@
 	client     *http.Client
 	addresses  []string
 	resolvedAt time.Time
+	// isLong means that the caller sends calls of the long kinds only.
+	isLong bool
 }
 
 var callNumber atomic.Uint64
 
-func newCaller(s *Soaker, random *rand.Rand) *caller {
-	return &caller{soaker: s, random: random, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+func newCaller(s *Soaker, number int, random *rand.Rand) *caller {
+	return &caller{
+		soaker: s, random: random, isLong: float64(number) < longCallers*float64(s.config.Callers),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
 }
 
 // run sends calls until the context ends.
@@ -70,7 +93,7 @@
 			c.refreshAddresses(ctx)
 		}
 		if len(c.addresses) > 0 {
-			c.call(ctx, c.addresses[c.random.IntN(len(c.addresses))])
+			c.callUntilServed(ctx)
 		}
 		if sleep(ctx, time.Duration(c.random.ExpFloat64()*float64(meanCallInterval))) != nil {
 			break
@@ -79,6 +102,33 @@
 	return nil
 }
 
+// callUntilServed sends a call, and again under another ID if it is rejected. It takes up a
+// stream that breaks off, if it may be resumed.
+func (c *caller) callUntilServed(ctx context.Context) {
+	request, kind := c.choose()
+	ended := call{kind: kind}
+	for range maxTries {
+		if len(c.addresses) == 0 {
+			return
+		}
+		ended = c.call(ctx, c.addresses[c.random.IntN(len(c.addresses))], request, &ended)
+		wait, isRejected := ended.retryAfter()
+		isCut := ended.status == http.StatusOK && !ended.isComplete && kind.isResumable()
+		if ended.canceled || !isCut && !isRejected && !ended.refused {
+			return
+		}
+		if sleep(ctx, wait) != nil {
+			return
+		}
+		request.ID = newCallID()
+		if ended.lastEvent > 0 {
+			request.Header["Last-Event-Id"], request.Header["Resumes"] = strconv.Itoa(ended.lastEvent), ended.chain
+		}
+	}
+}
+
+func newCallID() string { return fmt.Sprintf("%016x", callNumber.Add(1)) }
+
 // refreshAddresses adds the addresses that the discovery endpoint of a random
 // instance returns.
 func (c *caller) refreshAddresses(ctx context.Context) {
@@ -109,13 +159,21 @@
 	}
 }
 
-// call sends one call and records its result.
-func (c *caller) call(ctx context.Context, address string) {
-	request, k := c.choose()
-	ended := call{id: request.ID, kind: k, path: request.Path, key: request.APIKey, instance: c.soaker.instanceAt(address), sentAt: time.Now()}
+// call sends one attempt of a call after an earlier one, and records and returns its result.
+func (c *caller) call(ctx context.Context, address string, request platformtest.Request, earlier *call) call {
+	ended := call{
+		id: request.ID, kind: earlier.kind, path: request.Path, key: request.APIKey, instance: c.soaker.instanceAt(address), sentAt: time.Now(),
+		chain: request.ID, firstEvent: earlier.lastEvent + 1, lastEvent: earlier.lastEvent,
+	}
+	if earlier.lastEvent > 0 {
+		ended.chain = earlier.chain
+	}
 	wait := callTimeout
-	if c.random.Float64() < earlyCancelShare {
+	switch {
+	case c.random.Float64() < earlyCancelShare:
 		wait = earlyCancelTimeout
+	case c.isLong:
+		wait = longCallTimeout
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -123,6 +181,10 @@
 	ended.endedAt = time.Now()
 	ended.canceled = callCtx.Err() != nil
 	ended.status, ended.body, ended.isComplete, ended.events = response.Status, response.Body, response.Complete, response.EventIDs()
+	ended.header, ended.versions = response.Header, response.SoftwareVersions()
+	if count := len(ended.events); count > 0 && response.Status == http.StatusOK {
+		ended.lastEvent = ended.events[count-1]
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		ended.refused = true
 		c.addresses = slices.DeleteFunc(c.addresses, func(other string) bool { return other == address })
@@ -130,12 +192,22 @@
 	if ctx.Err() == nil {
 		c.soaker.history.addCall(ended)
 	}
+	return ended
 }
 
 // choose draws the next call at random. Each call has a unique path, so that no
 // instance takes it for an earlier request that crashed upstreams.
 func (c *caller) choose() (platformtest.Request, callKind) {
-	request := platformtest.Request{ID: fmt.Sprintf("%016x", callNumber.Add(1)), APIKey: platformtest.APIKey}
+	request := platformtest.Request{ID: newCallID(), APIKey: platformtest.APIKey, Header: map[string]string{}}
+	if c.isLong {
+		request.Path, request.Model, request.Body = platformtest.LongPath+request.ID, platformtest.Model, "prompt"
+		request.Header["X-Deadline-Ms"] = "12000"
+		if c.random.IntN(2) == 0 {
+			request.Path = platformtest.LongResumablePath + request.ID
+			return request, longAdvice
+		}
+		return request, guide
+	}
 	switch draw := c.random.Float64(); {
 	case draw < 0.25:
 		request.Path, request.Body = platformtest.NonIdempotentPath+request.ID, "ten frames"
@@ -157,11 +229,16 @@
 	return request, probe
 }
 
+// model draws the model of a call, half of the time with an adapter.
 func (c *caller) model() string {
+	model := platformtest.Model
 	if c.random.Float64() < 0.2 {
-		return platformtest.OtherModel
+		model = platformtest.OtherModel
+	}
+	if c.random.IntN(2) == 0 {
+		return fmt.Sprintf("%s/a%d", model, 1+c.random.IntN(3))
 	}
-	return platformtest.Model
+	return model
 }
 
 // instanceAt returns the name of the instance that listens on an address.
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -28,8 +28,17 @@
 	drainTimeLimit = 2 * time.Second
 	tableTimeLimit = 2 * time.Second
 	zoneTimeLimit  = 5 * time.Second
-	// responseTimeLimit is the routes' timeout plus a tolerance.
-	responseTimeLimit = 2500 * time.Millisecond
+	// responseTimeLimit and longResponseTimeLimit are the routes' timeouts plus a
+	// tolerance.
+	responseTimeLimit     = 2500 * time.Millisecond
+	longResponseTimeLimit = 12500 * time.Millisecond
+	// Requests that were sent within excusedSendTime after SIGTERM may be cut in the last
+	// sixth of the grace period, from excusedCutTime on.
+	excusedSendTime = 3 * time.Second
+	excusedCutTime  = stopGrace * 5 / 6
+	// maxMixedStreams is the number of streams that may hold events of two software
+	// versions.
+	maxMixedStreams = 2
 	// requestReadTime is the time after which an instance must have read a request.
 	requestReadTime = 200 * time.Millisecond
 	// minLeadershipGap is the minimum time between the orders of two planner
@@ -55,12 +64,18 @@
 
 // Result summarizes a run.
 type Result struct {
-	Calls      int            `json:"calls"`
-	Statuses   map[int]int    `json:"statuses"`
-	Runs       int            `json:"runs"`
-	Orders     int            `json:"orders"`
-	CalmServed float64        `json:"calm_served"`
-	Broken     map[string]int `json:"broken"`
+	Calls      int         `json:"calls"`
+	Statuses   map[int]int `json:"statuses"`
+	Runs       int         `json:"runs"`
+	Orders     int         `json:"orders"`
+	CalmServed float64     `json:"calm_served"`
+	// Begun and TakenUp count the streams that callers begin and take up again, and the
+	// served ones of them.
+	Begun         int            `json:"begun"`
+	BegunServed   int            `json:"begun_served"`
+	TakenUp       int            `json:"taken_up"`
+	TakenUpServed int            `json:"taken_up_served"`
+	Broken        map[string]int `json:"broken"`
 	// Violations lists the first violations of each check.
 	Violations []Violation `json:"violations"`
 }
@@ -96,6 +111,7 @@
 		j.result.Orders += len(h.upstreams[i].orders)
 	}
 	j.checkCalls()
+	j.checkVersions()
 	j.checkUpstreams()
 	j.checkLimit()
 	j.checkRateLimits()
@@ -151,7 +167,11 @@
 		}
 		j.checkResponse(c)
 		duration := c.endedAt.Sub(c.sentAt)
-		if duration > responseTimeLimit && !c.refused && j.isStable(c.instance, c.sentAt, c.endedAt) {
+		limit := responseTimeLimit
+		if c.kind.isLong() {
+			limit = longResponseTimeLimit
+		}
+		if duration > limit && !c.refused && j.isStable(c.instance, c.sentAt, c.endedAt) {
 			j.fail("answered_in_time", "%s %s took %s at %s", c.kind, c.id, duration, c.instance)
 		}
 		j.checkPlannedStop(c)
@@ -167,9 +187,9 @@
 	if c.status != 200 {
 		return
 	}
-	if c.kind == notes || c.kind == advice {
+	if c.kind.isStream() {
 		for number, id := range c.events {
-			if id != number+1 {
+			if id != number+max(c.firstEvent, 1) {
 				j.fail("whole_answers", "%s %s has the events %v", c.kind, c.id, c.events)
 				return
 			}
@@ -177,7 +197,7 @@
 		if strings.Count(c.body, "data: ") > strings.Count(c.body, " of "+c.id+" by ")+1 {
 			j.fail("own_answers", "%s %s got events of another call", c.kind, c.id)
 		}
-		if c.isComplete && len(c.events) != eventsPerStream {
+		if c.isComplete && len(c.events)+max(c.firstEvent, 1)-1 != c.kind.eventCount() {
 			j.fail("whole_answers", "%s %s looks complete after %d events", c.kind, c.id, len(c.events))
 		}
 		return
@@ -187,24 +207,90 @@
 	}
 }
 
-// eventsPerStream is the number of events of a complete stream.
+// eventsPerStream is the number of events of a complete stream that is not long.
 const eventsPerStream = 6
 
+// eventCount returns the number of events of a complete stream.
+func (k callKind) eventCount() int {
+	if k.isLong() {
+		return platformtest.LongStreamEvents
+	}
+	return eventsPerStream
+}
+
+// checkVersions checks that streams keep the software version that began them, within a
+// response and over the attempts of a caller.
+func (j *checker) checkVersions() {
+	versions := make(map[string]map[string]bool)
+	var mixed []string
+	for i := range j.calls {
+		c := &j.calls[i]
+		j.countStream(c)
+		for _, version := range c.versions {
+			known := versions[c.chain]
+			if known == nil {
+				known = make(map[string]bool)
+				versions[c.chain] = known
+			}
+			if known[version] = true; len(known) == 2 && !slices.Contains(mixed, c.chain) {
+				mixed = append(mixed, c.chain)
+			}
+		}
+	}
+	if len(mixed) > maxMixedStreams {
+		j.fail("one_version", "streams with events of two software versions: %v", mixed)
+	}
+}
+
+// countStream counts a stream that may be resumed, as begun or taken up.
+func (j *checker) countStream(c *call) {
+	isServed := 0
+	if c.status == 200 && c.isComplete {
+		isServed = 1
+	}
+	switch {
+	case !c.kind.isResumable() || c.canceled || c.refused:
+	case c.firstEvent > 1:
+		j.result.TakenUp++
+		j.result.TakenUpServed += isServed
+	default:
+		j.result.Begun++
+		j.result.BegunServed += isServed
+	}
+}
+
 // checkPlannedStop checks that an instance that shuts down gracefully answers the
 // requests that it has read.
 func (j *checker) checkPlannedStop(c *call) {
-	if c.status != 0 || c.refused || c.canceled || c.endedAt.Sub(c.sentAt) < requestReadTime {
+	isCut := c.status == 0 && c.endedAt.Sub(c.sentAt) >= requestReadTime || c.status == 200 && !c.isComplete && j.isCutByInstance(c)
+	if !isCut || c.refused || c.canceled {
 		return
 	}
 	for _, stop := range j.plannedStops[c.instance] {
 		hadFault := slices.ContainsFunc(j.instanceFaults[c.instance], func(s interval) bool { return s.overlaps(stop.from.Add(-stabilizationTime), stop.until) })
-		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault {
+		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime
+		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault && !isExcused {
 			j.fail("planned_stop", "%s %s, sent %s after SIGTERM, was aborted by %s after %s",
 				c.kind, c.id, c.sentAt.Sub(stop.from), c.instance, c.endedAt.Sub(c.sentAt))
 		}
 	}
 }
 
+// isCutByInstance reports whether the instance, and not an upstream, ended the response to
+// a call. At the route's timeout it may.
+func (j *checker) isCutByInstance(c *call) bool {
+	runs := j.runs[c.id]
+	if len(runs) == 0 || c.endedAt.Sub(c.sentAt) > maxCutTime {
+		return false
+	}
+	return !slices.ContainsFunc(runs, func(run platformtest.Execution) bool { return run.End == platformtest.BrokenOff }) &&
+		runs[len(runs)-1].End == platformtest.Canceled
+}
+
+// maxCutTime is the time for which an instance has no reason to end the response to a long
+// call, whose route has a timeout of 12 s.
+const maxCutTime = 10 * time.Second
+
 // checkUpstreams checks the faults that upstreams report and the requests that
 // they received.
 func (j *checker) checkUpstreams() {
@@ -249,7 +335,7 @@
 			continue
 		}
 		tokens := tokensPerPlainCall
-		if c.kind == notes || c.kind == advice {
+		if c.kind.isStream() {
 			tokens = tokensPerModelCall
 		}
 		samples = append(samples, usageSample{runs[0].At, tokens})
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,15 +68,34 @@
 	endedAt  time.Time
 	// status is 0 if no response arrived.
 	status     int
+	header     http.Header
 	body       string
 	events     []int
 	isComplete bool
+	// chain is the ID of the attempt that brought the first event of the stream, or else of
+	// this one. The stream goes on at firstEvent, and lastEvent is the last one that the
+	// caller has, from this attempt or an earlier one.
+	chain      string
+	firstEvent int
+	lastEvent  int
+	// versions lists the software versions of the upstreams that sent the events.
+	versions []string
 	// canceled is set if the caller canceled the call, and refused if the
 	// instance refused the connection.
 	canceled bool
 	refused  bool
 }
 
+// retryAfter reports whether the call was rejected as not run, and after which time the
+// caller may send it again.
+func (c *call) retryAfter() (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(c.header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(seconds * float64(time.Second)), meansNotExecuted(c.status)
+}
+
 // upstream holds what one incarnation of an upstream observed.
 type upstream struct {
 	id string
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -31,6 +31,13 @@
 	maxFaultDuration = 6 * time.Second
 	// meanRestartDelay is the mean time from the end of a process to its restart.
 	meanRestartDelay = 500 * time.Millisecond
+	// minRollGap and maxRollGap bound the time between the stops of two processes in a
+	// rolling restart, maxSignalGap the time between two signals to stop a process, and
+	// exitPollInterval is the time between two checks whether a process has exited.
+	minRollGap       = 200 * time.Millisecond
+	maxRollGap       = 1500 * time.Millisecond
+	maxSignalGap     = 5 * time.Second
+	exitPollInterval = 50 * time.Millisecond
 	// stopGrace is the time between SIGTERM and SIGKILL in a planned stop.
 	stopGrace = 8 * time.Second
 	// rewriteDelay is the time from the return of a restored store until the operators'
@@ -141,6 +148,7 @@
 	const probability = 0.006
 	choices := []platformtest.Behaviour{
 		platformtest.Reject, platformtest.Crash, platformtest.ResetMidStream, platformtest.ServerError, platformtest.WrongRequestID, platformtest.Hang,
+		platformtest.RejectTwice, platformtest.RejectTwice, platformtest.RejectTwice, platformtest.ResetMidStream,
 	}
 	if index := int(draw / probability); index < len(choices) {
 		return choices[index]
@@ -152,7 +160,7 @@
 // likely.
 func (i *injector) injectFault() {
 	faults := []func(){
-		i.killProcess, i.killProcess, i.pauseProcess, i.pauseProcess, i.stopProcess, i.stopProcess,
+		i.killProcess, i.killProcess, i.pauseProcess, i.pauseProcess, i.stopProcess, i.stopProcess, i.rollProcesses, i.rollProcesses,
 		i.cutStoreLink, i.cutStoreLink, i.degradeStore, i.degradeStore, i.compactStore, i.moveLeadership,
 		i.degradeLink, i.degradeLink, i.blackholeLink, i.crashUpstream, i.drainUpstream,
 		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore,
@@ -208,6 +216,20 @@
 	}})
 }
 
+// restartAfterExit restarts a process that was told to stop, once it has exited or its
+// grace period is over.
+func (i *injector) restartAfterExit(p *process, stoppedAt time.Time) {
+	i.scheduled = append(i.scheduled, scheduledAction{time.Now().Add(exitPollInterval), func() {
+		if !p.hasExited() && time.Since(stoppedAt) < stopGrace {
+			i.restartAfterExit(p, stoppedAt)
+			return
+		}
+		now := time.Now()
+		i.soaker.history.addPlannedStop(p.name, interval{stoppedAt, now})
+		i.scheduleRestart(p, now)
+	}})
+}
+
 // killProcess kills a process with SIGKILL and restarts it.
 func (i *injector) killProcess() {
 	if p := i.pickProcess(); p != nil {
@@ -242,13 +264,44 @@
 	if p == nil {
 		return
 	}
+	i.terminate(p)
+}
+
+// terminate sends SIGTERM to a process, half of the time twice, and restarts it after its
+// exit.
+func (i *injector) terminate(p *process) {
 	i.busy[p.name] = true
 	from := time.Now()
 	p.signal(syscall.SIGTERM)
-	i.scheduled = append(i.scheduled, scheduledAction{from.Add(stopGrace), func() {
-		i.soaker.history.addPlannedStop(p.name, interval{from, time.Now()})
-		i.scheduleRestart(p, from.Add(stopGrace))
-	}})
+	if i.random.IntN(2) == 0 {
+		incarnation := p.incarnation()
+		again := from.Add(time.Duration(i.random.Float64() * float64(maxSignalGap)))
+		i.scheduled = append(i.scheduled, scheduledAction{again, func() {
+			if p.incarnation() == incarnation {
+				p.signal(syscall.SIGTERM)
+			}
+		}})
+	}
+	i.restartAfterExit(p, from)
+}
+
+// rollProcesses stops all running processes, one after the other.
+func (i *injector) rollProcesses() {
+	if i.busy["roll"] {
+		return
+	}
+	i.busy["roll"] = true
+	gap := minRollGap + time.Duration(i.random.Float64()*float64(maxRollGap-minRollGap))
+	at := time.Now()
+	for _, p := range i.soaker.fleet {
+		i.scheduled = append(i.scheduled, scheduledAction{at, func() {
+			if !i.busy[p.name] {
+				i.terminate(p)
+			}
+		}})
+		at = at.Add(gap)
+	}
+	i.scheduled = append(i.scheduled, scheduledAction{at, func() { i.busy["roll"] = false }})
 }
 
 // cutStoreLink cuts the connection of one instance to the store.
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -123,6 +123,23 @@
 	}
 }
 
+// incarnation identifies the current process among those that were started.
+func (p *process) incarnation() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// hasExited reports whether the process has exited.
+func (p *process) hasExited() bool {
+	select {
+	case <-p.incarnation():
+		return true
+	default:
+		return false
+	}
+}
+
 // kill sends SIGKILL to the process and waits until it has exited.
 func (p *process) kill() {
 	if p.command == nil {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -61,6 +61,14 @@
 	s := &Soaker{config: config, site: platformtest.NewPlatform(), links: make(map[string]*upstreamLink), history: newHistory()}
 	defer s.close()
 	s.site.PutTable(s.initialTable())
+	// Two of four engines have another version of the software.
+	for number, zone := range []string{"za", "zb"} {
+		s.site.StartUpstream(platformtest.UpstreamConfig{
+			ID: fmt.Sprint("i-new-", number), Service: platformtest.ModelService, Zone: zone, Slots: 8, Models: []string{platformtest.Model},
+			MemoryMB: 200000, ModelMemoryMB: 65000, AdapterSlots: 2, LoadTime: 100 * time.Millisecond, EventsPerStream: eventsPerStream,
+			SoftwareVersion: "v2",
+		})
+	}
 	for id, engine := range s.site.Upstreams() {
 		if err := s.proxyUpstream(id, engine); err != nil {
 			return nil, err
@@ -101,7 +109,7 @@
 	group, callersCtx := errgroup.WithContext(callersCtx)
 	for number := range s.config.Callers {
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))
-		group.Go(func() error { return newCaller(s, random).run(callersCtx) })
+		group.Go(func() error { return newCaller(s, number, random).run(callersCtx) })
 	}
 	faults := newInjector(s, rand.New(rand.NewPCG(s.config.Seed, 0)))
 	err := faults.run(ctx, s.config.Duration)
