Take up streams only at the software version that began them

Cause: `Resumes` was not read, and no instance knew what began a stream that another one had served. Ruled out as a basis: the registrations that an instance knows (out of step; a version that has just left) and what instances know together (all killed at once).

Now a ledger in the store lists the versions that streams may have, before they are used (coordination/registrar); while there are several, three holders know each stream's (state/pinner); an engine's incarnation is confirmed before it continues a stream. What is not known for certain is refused as not run.

Six specs of "Streams of engines with two versions of the software" failed before and pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -34,10 +34,12 @@
 // Catalog is one version of the operators' table, indexed for lookups. It is
 // immutable.
 type Catalog struct {
-	version    int64
-	limits     RequestLimits
-	hosts      map[string]hostRoutes
-	services   map[string]*Service
+	version  int64
+	limits   RequestLimits
+	hosts    map[string]hostRoutes
+	services map[string]*Service
+	// resumable holds the names of the services whose streams callers may take up.
+	resumable  map[string]bool
 	workspaces map[string]*Workspace
 	keys       map[crocushollow.Digest]*Workspace
 }
@@ -53,6 +55,7 @@
 		limits:     config.Limits,
 		hosts:      make(map[string]hostRoutes),
 		services:   make(map[string]*Service, len(config.Services)),
+		resumable:  make(map[string]bool),
 		workspaces: make(map[string]*Workspace, len(config.Workspaces)),
 		keys:       make(map[crocushollow.Digest]*Workspace, len(config.Keys)),
 	}
@@ -90,6 +93,11 @@
 		c.hosts[host] = make(hostRoutes)
 	}
 	c.hosts[host][route.PathPrefix] = route
+	if route.IsResumable() {
+		for _, share := range route.WeightedServices {
+			c.resumable[share.Service] = true
+		}
+	}
 	return nil
 }
 
@@ -121,6 +129,9 @@
 // Services returns all services by name. The map must not be changed.
 func (c *Catalog) Services() map[string]*Service { return c.services }
 
+// IsResumable reports whether callers may take up streams of a service.
+func (c *Catalog) IsResumable(service string) bool { return c.resumable[service] }
+
 // WorkspaceByKey returns the workspace of the API key with the given digest.
 func (c *Catalog) WorkspaceByKey(digest crocushollow.Digest) (*Workspace, bool) {
 	workspace, found := c.keys[digest]
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -55,10 +56,18 @@
 	Resumable bool
 }
 
+// IsResumable reports whether callers may take up a stream whose connection broke.
+func (r *Route) IsResumable() bool { return r.Kind == Streaming && r.Resumable }
+
+// HasService reports whether requests may be sent to a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.WeightedServices, func(share WeightedService) bool { return share.Service == name })
+}
+
 // IsRetryable reports whether a request may be retried after an attempt whose
 // outcome is unknown.
 func (r *Route) IsRetryable() bool {
-	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+	return r.Kind == Idempotent || r.IsResumable()
 }
 
 // PickService chooses the service for a request by weight. draw is a uniform
--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -6,7 +6,9 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/coordination/registrar"
 	"github.com/crocushollow/crocushollow/state/allotter"
+	"github.com/crocushollow/crocushollow/state/pinner"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -150,6 +152,12 @@
 	Parts *quarantiner.PartReport `cbor:"14,keyasint,omitempty"`
 	// RateLimits holds what upstreams have said about their rate limits.
 	RateLimits []throttler.Statement `cbor:"15,keyasint,omitempty"`
+	// Software lists software versions that the registrar's ledger has.
+	Software []registrar.Software `cbor:"16,keyasint,omitempty"`
+	// Pins states the origins of streams to instances that hold them or have asked, and
+	// PinQueries asks for the origins of streams.
+	Pins       []pinner.Pin    `cbor:"17,keyasint,omitempty"`
+	PinQueries []pinner.Stream `cbor:"18,keyasint,omitempty"`
 }
 
 // IsPartial reports whether the heartbeat carries only events and not the status
@@ -162,13 +170,14 @@
 	partial := NewPartial()
 	partial.From, partial.Crashes = h.From, h.Crashes
 	partial.AdapterRequests, partial.Placements, partial.FeedUpdates = h.AdapterRequests, h.Placements, h.FeedUpdates
-	partial.Parts, partial.RateLimits = h.Parts, h.RateLimits
+	partial.Parts, partial.RateLimits, partial.Software = h.Parts, h.RateLimits, h.Software
+	partial.Pins, partial.PinQueries = h.Pins, h.PinQueries
 	return &partial
 }
 
 // hasRelayedEvents reports whether the heartbeat has events that aggregators relay.
 func (h *Heartbeat) hasRelayedEvents() bool {
-	return len(h.Placements) > 0 || len(h.Crashes) > 0 || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0
+	return len(h.Placements) > 0 || len(h.Crashes) > 0 || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0 || len(h.Software) > 0
 }
 
 // NewPartial returns an empty partial heartbeat.
@@ -181,6 +190,16 @@
 			return err
 		}
 	}
+	for i := range h.Software {
+		if err := h.Software[i].Validate(); err != nil {
+			return err
+		}
+	}
+	for i := range h.Pins {
+		if err := h.Pins[i].Validate(); err != nil {
+			return err
+		}
+	}
 	return h.From.Validate()
 }
 
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -110,6 +110,10 @@
 		i.parts.Merge(heartbeat.Parts, now)
 	}
 	i.throttler.Merge(heartbeat.RateLimits, now)
+	if len(heartbeat.Software) > 0 {
+		i.registrar.Hear(heartbeat.Software)
+	}
+	i.origins.handle(heartbeat, now)
 	if heartbeat.IsPartial() {
 		return
 	}
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/observer"
 	"github.com/crocushollow/crocushollow/coordination/planner"
+	"github.com/crocushollow/crocushollow/coordination/registrar"
 	"github.com/crocushollow/crocushollow/platform"
 	"github.com/crocushollow/crocushollow/protocol/proxy"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
@@ -118,6 +119,8 @@
 	quarantiner *quarantiner.Quarantiner
 	parts       *quarantiner.PartQuarantiner
 	throttler   *throttler.Throttler
+	registrar   *registrar.Registrar
+	origins     *streamOrigins
 	demand      *demandMeter
 	reporter    *reporter
 	observer    *observer.Observer
@@ -204,6 +207,7 @@
 			}
 			return 0
 		},
+		"crocushollow_pinned_streams":    func() float64 { return float64(i.origins.pinner.Len()) },
 		"crocushollow_store_era":         func() float64 { return float64(store.Era()) },
 		"crocushollow_limited_upstreams": func() float64 { return float64(i.throttler.ActiveLimits()) },
 		"crocushollow_planning_fence":    func() float64 { return float64(i.elector.LeaderToken()) },
@@ -226,6 +230,7 @@
 		OnLoadChange:     func() { signal(i.loadChanged) },
 		RateLimit:        i.throttler.Limit,
 		QuotaShare:       i.quotaShare,
+		IsPinnable:       i.isPinnable,
 		RandFloat64:      rand.Float64,
 	})
 	i.site = newSiteTracker(i.selector, time.Now)
@@ -250,6 +255,7 @@
 		Logger:          i.logger,
 		Now:             time.Now,
 	})
+	i.assembleOrigins(store)
 	i.elector = elector.New(elector.Config{
 		Group:         platform.NewConsumerGroup(store, i.self.Instance),
 		TTL:           max(time.Duration(i.settings.Store.MinTTL), minGroupTTL),
@@ -301,13 +307,17 @@
 			Instances:    instanceCount,
 			StartTime:    i.startedAt,
 		}),
-		Quarantiner:    i.quarantiner,
-		Parts:          i.parts,
-		Throttler:      i.throttler,
-		Estimator:      estimator.New(),
-		Shutdown:       i.shutdownState,
-		Sender:         i.egress,
-		HasEnded:       i.engines.HasEnded,
+		Quarantiner: i.quarantiner,
+		Parts:       i.parts,
+		Throttler:   i.throttler,
+		Estimator:   estimator.New(),
+		Shutdown:    i.shutdownState,
+		Sender:      i.egress,
+		Origins:     i.origins,
+		HasEnded:    i.engines.HasEnded,
+
+		ConfirmIncarnation: i.engines.ConfirmIncarnation,
+
 		RequestAdapter: i.requestAdapter,
 		AddDemand:      i.demand.add,
 		Observer:       i.reporter,
@@ -437,6 +447,8 @@
 	group.Go(func() error { return i.elector.Run(electionCtx) })
 	group.Go(func() error { return i.planner.Run(ctx) })
 	group.Go(func() error { return i.proxy.Run(ctx) })
+	group.Go(func() error { return i.registrar.Run(ctx) })
+	group.Go(func() error { return i.origins.run(ctx) })
 	group.Go(func() error { return i.broadcastLoadChanges(ctx) })
 	group.Go(func() error { return i.broadcastPlacements(ctx) })
 	group.Go(func() error { return i.broadcastParts(ctx) })
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -97,6 +97,9 @@
 			Uints64("parts", call.PartHashes()).
 			Float64("prompt_tokens", call.PromptTokens).Float64("output_tokens", call.MaxOutputTokens)
 	}
+	if call.LastEventID != "" {
+		line.Str("resumes", call.Resumes).Str("last_event", call.LastEventID)
+	}
 	if record.Error != nil {
 		line.Str("reason", string(record.Error.Code)).Str("detail", record.Error.Message).
 			Dur("retry_after", record.Error.RetryAfter)
--- a/daemon/hosted/site.go
+++ b/daemon/hosted/site.go
@@ -85,6 +85,7 @@
 		i.limitsTableVersion = table.Version()
 		i.allotter.SetLimits(table.Workspaces(), time.Now())
 	}
+	i.registrar.Notify()
 	i.proxy.Wake()
 }
 
--- a/integration/hosted_versions_test.go
+++ b/integration/hosted_versions_test.go
@@ -26,12 +26,60 @@
 func (f *hostedFleet) replaceByVersions(count int, versions []string, behaviour func(platformtest.Execution) platformtest.Behaviour) {
 	for n := range count {
 		for _, version := range versions {
-			f.StartUpstream(versionedEngine(fmt.Sprintf("i-%s-%d", version, n), version)).SetBehaviour(behaviour)
+			f.StartUpstream(versionedEngine(fmt.Sprintf("i-%s-%d", version, n), version))
 		}
 	}
 	f.DeregisterUpstream("i-a")
 	f.DeregisterUpstream("i-b")
 	time.Sleep(time.Second)
+	for n := range f.Instances {
+		f.awaitVersions(n, versions...)
+	}
+	f.SetBehaviour(behaviour)
+}
+
+// failureTime is the time for which instances avoid an engine after a failure, at most.
+const failureTime = 1500 * time.Millisecond
+
+// startSecondVersion starts an engine of version v2 beside those of v1 and waits until the
+// first instance uses both.
+func (f *hostedFleet) startSecondVersion() {
+	GinkgoHelper()
+	f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Serve })
+	f.StartUpstream(versionedEngine("i-v2-0", "v2"))
+	f.awaitVersions(0, "v1", "v2")
+	f.SetBehaviour(resetFirstAttempts())
+}
+
+// awaitVersions waits until an instance sends streams to engines of all versions.
+func (f *hostedFleet) awaitVersions(n int, versions ...string) {
+	GinkgoHelper()
+	seen := make(map[string]bool)
+	Eventually(func() map[string]bool {
+		for _, version := range f.sendAtOnce(n, 12) {
+			seen[version] = true
+		}
+		return seen
+	}, "3s", "20ms").Should(HaveLen(len(versions)))
+}
+
+// sendAtOnce sends a number of streams to an instance at once and returns their versions.
+func (f *hostedFleet) sendAtOnce(n, count int) []string {
+	GinkgoHelper()
+	var mu sync.Mutex
+	var versions []string
+	var pending sync.WaitGroup
+	for range count {
+		pending.Go(func() {
+			defer GinkgoRecover()
+			response := f.sendTo(n, adviceRequest())
+			mu.Lock()
+			defer mu.Unlock()
+			versions = append(versions, response.SoftwareVersions()...)
+		})
+	}
+	pending.Wait()
+	return versions
 }
 
 // resetFirstAttempts returns a behaviour that resets the streams that are sent for the
@@ -89,4 +137,163 @@
 			Expect(response.Duration).To(BeNumerically("<", 500*time.Millisecond))
 		}
 	})
+
+	// The rest is about streams that callers take up after their connection broke.
+
+	// continued returns the number of responses that are complete and go on at one version.
+	continued := func(streams []takenUp) int {
+		count := 0
+		for _, s := range streams {
+			Expect(s.versions()).To(HaveLen(1), "%s and %s", s.first.Body, s.second.Body)
+			Expect(s.second.Status).To(Or(Equal(200), Equal(503)))
+			if s.second.Complete && s.second.Status == 200 {
+				Expect(append(s.first.EventIDs(), s.second.EventIDs()...)).To(Equal([]int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}))
+				count++
+			}
+		}
+		return count
+	}
+
+	// Guards against a stream that goes on at another version when its caller takes it up,
+	// and against streams that are refused although their origin is known.
+	It("go on at the version that began them when callers take them up elsewhere", func() {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, versions, resetFirstAttempts())
+		streams := f.breakStreams(24)
+		f.takeUp(streams, 1)
+		Expect(continued(streams)).To(Equal(24))
+	})
+
+	// Guards against streams that are refused, or mixed, because the instance that served
+	// them has ended.
+	It("go on after the instance that served them was killed", func() {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, versions, resetFirstAttempts())
+		streams := f.breakStreams(24)
+		Expect(f.Instances[0].Kill()).To(Succeed())
+		f.takeUp(streams, 1)
+		Expect(continued(streams)).To(BeNumerically(">=", 20))
+	})
+
+	// Guards against streams that are mixed after all instances, and with them all that
+	// they know of streams, are gone.
+	It("do not go on at another version after all instances were killed at once", func() {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, versions, resetFirstAttempts())
+		streams := f.breakStreams(24)
+		Expect(f.ReplaceInstances()).To(Succeed())
+		f.takeUp(streams, 1)
+		continued(streams)
+		time.Sleep(time.Second)
+		later := f.breakStreams(12)
+		f.takeUp(later, 1)
+		Expect(continued(later)).To(Equal(12))
+	})
+
+	// Guards against a version that has left just before all instances were killed, whose
+	// streams then seem to be of the only version that is left.
+	It("do not go on at the version that is left after theirs", func() {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, []string{"v1"}, resetFirstAttempts())
+		streams := f.breakStreams(12)
+		time.Sleep(failureTime)
+		f.startSecondVersion()
+		f.DeregisterUpstream("i-v1-0")
+		time.Sleep(500 * time.Millisecond)
+		Expect(f.ReplaceInstances()).To(Succeed())
+		f.takeUp(streams, 1)
+		Expect(continued(streams)).To(BeZero())
+	})
+
+	// Guards against streams of a single version that are refused after all instances were
+	// killed, since nothing but the ledger knows of them.
+	It("go on after all instances were killed at once if there is one version", func() {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, []string{"v1"}, resetFirstAttempts())
+		streams := f.breakStreams(12)
+		Expect(f.ReplaceInstances()).To(Succeed())
+		f.takeUp(streams, 1)
+		Expect(continued(streams)).To(Equal(12))
+	})
+
+	// Guards against an instance that is out of step while a new version joins, and takes
+	// the version that it knows for that of all streams.
+	DescribeTable("do not go on at another version at an instance that is out of step", func(storeFault platformtest.Fault) {
+		f := startHostedFleet(3)
+		f.replaceByVersions(1, []string{"v1"}, resetFirstAttempts())
+		apart := f.Instances[2]
+		apart.CutFromPeers(true)
+		f.Store.SetFault(func(call platformtest.StoreCall) platformtest.Fault {
+			if call.Address == apart.Settings.Store.Address {
+				return storeFault
+			}
+			return platformtest.NoFault
+		})
+		f.startSecondVersion()
+		streams := f.breakStreams(24)
+		f.takeUp(streams, 2)
+		continued(streams)
+		seen := make(map[string]bool)
+		for _, s := range streams {
+			seen[s.versions()[0]] = true
+		}
+		Expect(seen).To(HaveKey("v2"))
+	},
+		Entry("and the store does not respond to it", platformtest.NoResponse),
+		Entry("and the store serves it", platformtest.NoFault),
+	)
+
+	// Guards against an engine that has started again with other software under its ID.
+	It("do not go on at an engine that has changed its version since it was registered", func() {
+		f := startHostedFleet(1)
+		f.replaceByVersions(1, []string{"v1"}, resetFirstAttempts())
+		streams := f.breakStreams(6)
+		f.Store.SetFault(func(platformtest.StoreCall) platformtest.Fault { return platformtest.Unavailable })
+		f.RestartUpstream("i-v1-0", "v2").SetBehaviour(resetFirstAttempts())
+		f.takeUp(streams, 0)
+		Expect(continued(streams)).To(BeZero())
+	})
 })
+
+// takenUp is a stream that broke off, and its continuation.
+type takenUp struct{ first, second platformtest.Response }
+
+// versions returns the software versions of both responses.
+func (t *takenUp) versions() []string {
+	both := platformtest.Response{Body: t.first.Body + "\n" + t.second.Body}
+	return both.SoftwareVersions()
+}
+
+// breakStreams sends streams to the first instance, which break off in their middle.
+func (f *hostedFleet) breakStreams(count int) []takenUp {
+	GinkgoHelper()
+	streams := make([]takenUp, count)
+	var pending sync.WaitGroup
+	for n := range streams {
+		pending.Go(func() {
+			defer GinkgoRecover()
+			streams[n].first = f.sendTo(0, adviceRequest())
+		})
+	}
+	pending.Wait()
+	for _, s := range streams {
+		Expect(s.first.Complete).To(BeFalse())
+		Expect(s.first.EventIDs()).To(Equal([]int{1}))
+	}
+	return streams
+}
+
+// takeUp takes streams up at an instance.
+func (f *hostedFleet) takeUp(streams []takenUp, n int) {
+	GinkgoHelper()
+	var pending sync.WaitGroup
+	for index := range streams {
+		pending.Go(func() {
+			defer GinkgoRecover()
+			request := adviceRequest()
+			request.Header = map[string]string{"Last-Event-Id": "1", "Resumes": streams[index].first.ID}
+			streams[index].second = f.sendTo(n, request)
+		})
+	}
+	pending.Wait()
+}
--- a/protocol/proxy/call.go
+++ b/protocol/proxy/call.go
@@ -39,7 +39,10 @@
 	PromptSegments []PromptSegment
 	// LastEventID is the ID of the last stream event that the caller received.
 	LastEventID string
-	ArrivedAt   time.Time
+	// Resumes is the ID of the caller's earlier call that brought the first event of the
+	// stream. It is empty unless the caller takes a stream up.
+	Resumes   string
+	ArrivedAt time.Time
 	// CallerTimeout is how long the caller waits for the response. It is 0 if
 	// the caller did not specify it.
 	CallerTimeout time.Duration
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/estimator"
+	"github.com/crocushollow/crocushollow/state/pinner"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -134,6 +135,14 @@
 func (w *recordingWriter) WriteError(err *rejecter.Error)        { w.status, w.err = err.Status, err }
 func (w *recordingWriter) Abort()                                { w.aborted = true }
 
+// unknownOrigins knows the origin of no stream.
+type unknownOrigins struct{}
+
+func (unknownOrigins) Begin(string, pinner.Origin, time.Time) {}
+func (unknownOrigins) Find(context.Context, string, string) (pinner.Origin, bool) {
+	return pinner.Origin{}, false
+}
+
 type discardObserver struct{}
 
 func (discardObserver) CallEnded(proxy.CallRecord)       {}
@@ -181,10 +190,12 @@
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
 		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
-		Estimator:      estimator.New(),
-		Shutdown:       func() proxy.Shutdown { return proxy.Shutdown{} },
-		Throttler:      throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
-		RequestAdapter: func(string, string, string) {}, AddDemand: func(string, float64) {},
+		Origins:            unknownOrigins{},
+		ConfirmIncarnation: func(context.Context, *catalog.Upstream) error { return nil },
+		Estimator:          estimator.New(),
+		Shutdown:           func() proxy.Shutdown { return proxy.Shutdown{} },
+		Throttler:          throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
+		RequestAdapter:     func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -95,6 +95,10 @@
 	Sender      Sender
 	// Shutdown returns the state of the instance's shutdown.
 	Shutdown func() Shutdown
+	Origins  StreamOrigins
+	// ConfirmIncarnation returns an error unless the incarnation of an upstream that is
+	// registered is the one that runs.
+	ConfirmIncarnation func(ctx context.Context, upstream *catalog.Upstream) error
 	// HasEnded reports whether an incarnation of an engine has certainly ended.
 	HasEnded func(ctx context.Context, upstream *catalog.Upstream) bool
 	// RequestAdapter requests the load of an adapter that no engine has loaded.
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -229,7 +229,7 @@
 
 // queueDeadline returns when the call stops waiting for an upstream.
 func (r *run) queueDeadline() time.Time {
-	if r.stream.events > 0 {
+	if r.stream.softwareVersion.IsKnown() {
 		return r.proxy.config.Now().Add(continuationWait)
 	}
 	timeout := r.deadline.Sub(r.call.ArrivedAt)
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -76,12 +76,17 @@
 	defer cancel()
 	config := &r.proxy.config
 	r.request = selector.Request{
-		Service:      r.route.PickService(hashFraction(r.call.ID)),
+		Service:      r.route.PickService(hashFraction(r.call.streamRequestID())),
 		Model:        r.call.Model,
 		Adapter:      r.call.Adapter,
 		PromptTokens: r.call.PromptTokens,
 		OutputTokens: r.call.expectedOutputTokens(),
 		Prefixes:     r.call.prefixes(),
+		IsResumable:  r.route.IsResumable(),
+	}
+	if apiErr := r.takeUp(ctx); apiErr != nil {
+		r.fail(ctx, apiErr)
+		return
 	}
 	config.Budgeter.RecordRequest(r.request.Service, config.Now())
 	for {
@@ -179,6 +184,11 @@
 	span.SetAttributes(attribute.String("upstream", reservation.Upstream.ID))
 	r.record.Upstream = reservation.Upstream.ID
 	r.request.Excluded = append(r.request.Excluded, reservation.Upstream.ID)
+	if err := r.confirmIncarnation(ctx, &reservation.Upstream); err != nil {
+		r.record.Cause = err
+		reservation.Release(selector.Unreachable, config.Now())
+		return retry
+	}
 	sentAt := config.Now()
 	r.stream.eventsBefore = r.stream.events
 	response, err := config.Sender.Send(ctx, Attempt{
@@ -208,6 +218,20 @@
 	return next
 }
 
+// confirmIncarnation checks an upstream that is about to continue a stream. An upstream that
+// has started again with other software under the same ID would continue it too.
+func (r *run) confirmIncarnation(ctx context.Context, upstream *catalog.Upstream) error {
+	if !r.stream.softwareVersion.IsKnown() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return r.proxy.config.ConfirmIncarnation(ctx, upstream)
+}
+
+// confirmTimeout bounds the check of an upstream before it continues a stream.
+const confirmTimeout = 250 * time.Millisecond
+
 // countSend records a send to an upstream and returns the number of sends to it before.
 func (r *run) countSend(upstream string) int {
 	repeats := 0
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -137,7 +137,7 @@
 		reservation.MarkFirstByte()
 	}
 	if r.stream.events == 0 {
-		r.stream.softwareVersion = reservation.Upstream.SoftwareVersion
+		r.recordOrigin(&reservation.Upstream)
 	}
 	accepted, err := r.stream.advance(events)
 	if err != nil {
--- a/protocol/rejecter/rejecter.go
+++ b/protocol/rejecter/rejecter.go
@@ -35,6 +35,7 @@
 	CallOutcomeUnknown      Code = "call_outcome_unknown"
 	IdempotencyKeyReused    Code = "idempotency_key_reused"
 	RequestCrashesUpstreams Code = "request_crashes_upstreams"
+	UnknownOrigin           Code = "stream_origin_unknown"
 	KeyWithdrawn            Code = "key_withdrawn"
 	CallerTooSlow           Code = "caller_too_slow"
 	RequestIncomplete       Code = "request_incomplete"
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -60,6 +60,9 @@
 	// has begun the stream that the request continues. It is empty if any version may
 	// serve the request.
 	SoftwareVersion catalog.SoftwareVersion
+	// IsResumable means that the request begins a stream that callers may take up. Only a
+	// version for which Config.IsPinnable is true may begin it.
+	IsResumable bool
 	// Excluded lists the IDs of upstreams that must not be chosen.
 	Excluded []string
 	// IsWaiting means that the request was not sent when it arrived.
@@ -116,6 +119,9 @@
 	RateLimit func(upstream *catalog.Upstream) throttler.Limit
 	// QuotaShare divides a number of requests to an upstream among the instances.
 	QuotaShare func(upstream string, requests int) QuotaShare
+	// IsPinnable reports whether all instances can learn which streams a version of a
+	// service has begun.
+	IsPinnable func(service string, version catalog.SoftwareVersion) bool
 	// RandFloat64 returns a random number in [0, 1).
 	RandFloat64 func() float64
 }
@@ -259,6 +265,9 @@
 // eligibility returns Chosen if the request can be sent to the upstream now, and
 // the reason otherwise.
 func (s *Selector) eligibility(c *candidate, request *Request, service *catalog.Service, now time.Time) Result {
+	if request.IsResumable && !request.SoftwareVersion.IsKnown() && !s.config.IsPinnable(request.Service, c.upstream.SoftwareVersion) {
+		return Busy
+	}
 	if request.Model != "" {
 		if !c.upstream.Serves(request.Model, "") {
 			return ModelAbsent
