Take an empty continuation without a length for a broken connection

Cause: an answer without a length that ends before its first event counted as broken off only if the stream had no event from an earlier answer. Ruled out: bytes lost on the way to the caller, since the instance wrote the last chunk itself.

--- a/integration/hosted_framing_test.go
+++ b/integration/hosted_framing_test.go
@@ -81,4 +81,23 @@
 		Entry("inside an event", platformtest.ResetMidStream),
 		Entry("before the first event", platformtest.CloseBeforeFirstEvent),
 	)
+
+	// Guards against a stream that ends as complete after a part of its events, because the
+	// engine that was to continue it has ended before it sent any.
+	It("are streams that were broken off if they end before the first event of a continuation", func() {
+		f := startHostedFleet(2)
+		f.replaceEngines(4, true, func(execution platformtest.Execution) platformtest.Behaviour {
+			if execution.Header.Get("Last-Event-Id") == "" {
+				return platformtest.ResetMidStream
+			}
+			return platformtest.CloseBeforeFirstEvent
+		})
+		broken := f.send(adviceRequest())
+		Expect(broken.EventIDs()).To(Equal([]int{1}))
+		Expect(broken.Complete).To(BeFalse())
+		request := adviceRequest()
+		request.Header = map[string]string{"Last-Event-Id": "1", "Resumes": broken.ID}
+		takenUp := f.sendTo(1, request)
+		Expect(takenUp.Status == 200 && takenUp.Complete).To(BeFalse())
+	})
 })
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -17,7 +17,7 @@
 	eventEnd          = []byte("\n\n")
 	idPrefix          = []byte("id:")
 	errTruncatedEvent = errors.New("the stream ended within an event")
-	errEmptyStream    = errors.New("the connection ended before the first event of the stream")
+	errEmptyStream    = errors.New("the connection ended before the first event of the response")
 	errEventOrder     = errors.New("the event IDs of the stream do not increase")
 )
 
@@ -113,13 +113,15 @@
 	}
 }
 
-// finishStream returns an error if a stream ended within an event, or before the first
-// one if that may have been a connection that broke off.
+// finishStream returns an error if a response ended within an event, or before its first one
+// if that may have been a connection that broke off. An upstream that is asked to continue
+// after the last event looks the same; its stream is broken off too, as the other reading
+// would lose events.
 func (r *run) finishStream(response *Response, rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return errTruncatedEvent
 	}
-	if response.EndsWithConnection && r.lastEventID() == "" {
+	if response.EndsWithConnection && r.stream.eventsOfAttempt() == 0 {
 		return errEmptyStream
 	}
 	if !r.headerSent {
