--- a/coordination/registrar/control.go
+++ b/coordination/registrar/control.go
@@ -4,67 +4,9 @@
 	"context"
 	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
-
-	"github.com/crocushollow/crocushollow/catalog"
 )
 
-// Registrar keeps the ledger of the versions in use. It is safe for concurrent use.
-type Registrar struct {
-	config   Config
-	done     chan struct{}
-	wake     chan struct{}
-	told     chan []Software
-	confirms chan *confirmation
-	// services holds the versions of each service. The map is replaced at each change.
-	services atomic.Pointer[map[string]versions]
-
-	// The fields below are accessed by the control goroutine only.
-
-	// entries holds the entries that the ledger lists, and those in use.
-	entries map[Software]*state
-	// era is that of the last read. It is negative before.
-	era int64
-	// uncertainUntil is when all instances have written again what the ledger has lost.
-	uncertainUntil time.Time
-	// readAt is the time of the last successful read, and nextCallAt that of the next call
-	// at the earliest.
-	readAt, nextCallAt time.Time
-	// toldAt is when this instance last told the others what the ledger lists.
-	toldAt time.Time
-}
-
-// versions are the software versions of a service, sorted.
-type versions struct{ listed, usable []catalog.SoftwareVersion }
-
-func (v versions) equals(other versions) bool {
-	return slices.Equal(v.listed, other.listed) && slices.Equal(v.usable, other.usable)
-}
-
-// state is what is known of an entry.
-type state struct {
-	// isListed means that the ledger lists the entry, or that it did before it was restored
-	// from a copy. listedAt is when this was last heard.
-	isListed bool
-	listedAt time.Time
-	// isUsable means that the ledger lists it, and that the version has been in use since.
-	isUsable bool
-	// isMissing means that the ledger does not list the entry and must, since missingSince.
-	isMissing    bool
-	missingSince time.Time
-	// inUseAt is when an upstream last had the version, or when the entry was first heard.
-	inUseAt time.Time
-}
-
-// list records that the ledger lists the entry.
-func (s *state) list(at time.Time) {
-	s.isListed, s.isMissing = true, false
-	if at.After(s.listedAt) {
-		s.listedAt = at
-	}
-}
-
 // Run keeps the ledger until the context ends.
 func (r *Registrar) Run(ctx context.Context) error {
 	defer close(r.done)
--- a/daemon/hosted/origins.go
+++ b/daemon/hosted/origins.go
@@ -3,17 +3,14 @@
 import (
 	"cmp"
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/registrar"
-	"github.com/crocushollow/crocushollow/platform"
 	"github.com/crocushollow/crocushollow/state/pinner"
 )
 
@@ -32,13 +29,6 @@
 	confirmTimeout = 250 * time.Millisecond
 	askTimeout     = 120 * time.Millisecond
 	askInterval    = 40 * time.Millisecond
-	// maxRegistrarDelay bounds the time that an instance leaves the recording of a new
-	// software version to others, registrarDelay and registrarDelayStep give it by rank.
-	maxRegistrarDelay  = time.Second
-	registrarDelay     = 150 * time.Millisecond
-	registrarDelayStep = 50 * time.Millisecond
-	// settleTime is the time after a start in which an instance does not know its rank.
-	settleTime = time.Second
 )
 
 // streamOrigins implements proxy.StreamOrigins. While a service has one software version,
@@ -234,62 +224,3 @@
 	}
 	o.sendPins(heartbeat.From.Address, pins)
 }
-
-// assembleOrigins builds the parts that know which software version began a stream.
-func (i *Instance) assembleOrigins(store *platform.Store) {
-	startupDelay := time.Duration(rand.Int64N(int64(settleTime)))
-	i.registrar = registrar.New(registrar.Config{
-		Ledger:     platform.NewSoftwareLedger(store),
-		InUse:      i.softwareInUse,
-		IsRecorder: func() bool { return i.hasSettled() && i.gossiper.Fleet().Rank == 0 && !i.draining.Load() },
-		Delay: func() time.Duration {
-			if !i.hasSettled() {
-				return startupDelay
-			}
-			return min(registrarDelay+time.Duration(i.gossiper.Fleet().Rank)*registrarDelayStep, maxRegistrarDelay)
-		},
-		Tell: func(entries []registrar.Software) {
-			heartbeat := gossiper.NewPartial()
-			heartbeat.Software = entries
-			i.gossiper.Broadcast(heartbeat)
-		},
-		OnChange: func() {
-			i.origins.changed()
-			i.proxy.Wake()
-		},
-		Logger: i.logger,
-		Now:    time.Now,
-	})
-	i.origins = &streamOrigins{
-		pinner: pinner.New(), registrar: i.registrar, fleet: i.gossiper.Fleet, send: i.gossiper.SendTo,
-		asking: make(map[pinner.Stream][]chan pinner.Pin), several: make(map[string]bool), hasNews: make(chan struct{}, 1),
-	}
-}
-
-// hasSettled reports whether the instance has run long enough to know its rank.
-func (i *Instance) hasSettled() bool { return time.Since(i.startedAt) > settleTime }
-
-// isPinnable implements selector.Config.IsPinnable.
-func (i *Instance) isPinnable(service string, version catalog.SoftwareVersion) bool {
-	return i.registrar.IsUsable(service, version)
-}
-
-// softwareInUse returns the software versions of the upstreams whose streams callers may
-// take up.
-func (i *Instance) softwareInUse() []registrar.Software {
-	view := i.site.current.Load().view
-	if view.Catalog == nil {
-		return nil
-	}
-	seen := make(map[registrar.Software]bool)
-	var entries []registrar.Software
-	for _, upstream := range view.Upstreams {
-		entry := registrar.Software{Service: upstream.Service, Version: upstream.SoftwareVersion}
-		if !view.Catalog.IsResumable(entry.Service) || !entry.Version.IsKnown() || seen[entry] {
-			continue
-		}
-		seen[entry] = true
-		entries = append(entries, entry)
-	}
-	return entries
-}
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -265,9 +265,6 @@
 // eligibility returns Chosen if the request can be sent to the upstream now, and
 // the reason otherwise.
 func (s *Selector) eligibility(c *candidate, request *Request, service *catalog.Service, now time.Time) Result {
-	if request.IsResumable && !request.SoftwareVersion.IsKnown() && !s.config.IsPinnable(request.Service, c.upstream.SoftwareVersion) {
-		return Busy
-	}
 	if request.Model != "" {
 		if !c.upstream.Serves(request.Model, "") {
 			return ModelAbsent
@@ -276,6 +273,9 @@
 			return AdapterAbsent
 		}
 	}
+	if request.IsResumable && !request.SoftwareVersion.IsKnown() && !s.config.IsPinnable(request.Service, c.upstream.SoftwareVersion) {
+		return Busy
+	}
 	if !s.rateLimitAllows(c, request, now) {
 		return RateLimited
 	}
