Record software versions within a quarter of a second of a first start

Cause: an instance that does not know its rank yet left the recording of the version to others for up to 1 s, longer than calls wait.

--- a/daemon/hosted/software.go
+++ b/daemon/hosted/software.go
@@ -18,14 +18,16 @@
 	maxRegistrarDelay  = time.Second
 	registrarDelay     = 150 * time.Millisecond
 	registrarDelayStep = 50 * time.Millisecond
-	// settleTime is the time after a start in which an instance does not know its rank.
-	settleTime = time.Second
+	// settleTime is the time after a start in which an instance does not know its rank. It
+	// then leaves the recording to others for a random time of up to maxStartupDelay.
+	settleTime      = time.Second
+	maxStartupDelay = 250 * time.Millisecond
 )
 
 // assembleOrigins builds the parts that know which software version began a stream.
 func (i *Instance) assembleOrigins(store *platform.Store) {
 	var software softwareObserver
-	startupDelay := time.Duration(rand.Int64N(int64(settleTime)))
+	startupDelay := time.Duration(rand.Int64N(int64(maxStartupDelay)))
 	i.registrar = registrar.New(registrar.Config{
 		Ledger:     platform.NewSoftwareLedger(store),
 		InUse:      func() []registrar.Software { return software.inUse(i.site.current.Load().view) },
--- a/integration/hosted_registration_test.go
+++ b/integration/hosted_registration_test.go
@@ -23,9 +23,31 @@
 
 	// Guards against an instance that ends or stops following the registrations, or sends
 	// requests to an upstream that does not exist.
-	DescribeTable("go on, follow later registrations, and use no upstream that it names", func(content []byte) {
+	It("go on, follow later registrations, and use no upstream that it names", func() {
 		f := startHostedFleet(2)
-		f.PutRegistration("i-odd", content)
+		for name, content := range map[string][]byte{
+			"that is nested deeply":                              registration(nested(9000)),
+			"that is nested more deeply than the decoder allows": registration(nested(100_000)),
+			"with a port out of range":                           registration(`"address":"127.0.0.1:99999"`),
+			"with port 0":                                        registration(`"address":"127.0.0.1:0"`),
+			"without a host":                                     registration(`"address":":8080"`),
+			"with an address of no single host":                  registration(`"address":"0.0.0.0:8080"`),
+			"with a multicast address":                           registration(`"address":"224.0.0.1:8080"`),
+			"with more slots than an integer holds":              registration(`"slots":1e30`),
+			"with very many slots":                               registration(`"slots":9223372036854775807`),
+			"with a negative number of slots":                    registration(`"slots":-1`),
+			"with a cold start longer than a number holds":       registration(`"coldLeftMs":1e400`),
+			"with an endless cold start":                         registration(`"coldLeftMs":1e300`),
+			"with a sequence number too large":                   registration(`"seq":1e30`),
+			"with a start too large":                             registration(`"born":99999999999999999999`),
+			"with a start in the far future":                     registration(`"born":9223372036854775807`),
+			"with a weight version too large":                    registration(`"models":[{"name":"m0","version":1e30}]`),
+			"with a start that is not a whole number":            registration(`"born":1.5`),
+			"with very many adapters":                            registration(`"models":[{"name":"m0","version":1,"adapters":[` + strings.Repeat(`"a",`, 60_000) + `"a"]}]`),
+			"with a very long name":                              registration(`"zone":"` + strings.Repeat("z", 200_000) + `"`),
+		} {
+			f.PutRegistration("i-odd-"+strings.ReplaceAll(name, " ", "-"), content)
+		}
 		f.StartUpstream(platformtest.UpstreamConfig{ID: "i-later", Service: platformtest.PlainService, Zone: "za", Slots: 4})
 		f.DeregisterUpstream("i-c")
 		f.DeregisterUpstream("i-d")
@@ -33,34 +55,14 @@
 			Eventually(func() string {
 				return f.sendTo(n, stockRequest()).Header.Get("X-Response-Stamp")
 			}, drainTimeout, "20ms").Should(Equal("stamp-i-later"))
-			for range 20 {
+			for range 40 {
 				answer := f.sendTo(n, notesRequest())
 				Expect(answer.Status).To(Equal(200))
 				Expect(answer.Duration).To(BeNumerically("<", time.Second))
 			}
 			Expect(f.Instances[n].Done()).NotTo(BeClosed())
 		}
-	},
-		Entry("that is nested deeply", registration(nested(9000))),
-		Entry("that is nested more deeply than the decoder allows", registration(nested(100_000))),
-		Entry("with a port out of range", registration(`"address":"127.0.0.1:99999"`)),
-		Entry("with port 0", registration(`"address":"127.0.0.1:0"`)),
-		Entry("without a host", registration(`"address":":8080"`)),
-		Entry("with an address of no single host", registration(`"address":"0.0.0.0:8080"`)),
-		Entry("with a multicast address", registration(`"address":"224.0.0.1:8080"`)),
-		Entry("with more slots than an integer holds", registration(`"slots":1e30`)),
-		Entry("with very many slots", registration(`"slots":9223372036854775807`)),
-		Entry("with a negative number of slots", registration(`"slots":-1`)),
-		Entry("with a cold start longer than a number holds", registration(`"coldLeftMs":1e400`)),
-		Entry("with an endless cold start", registration(`"coldLeftMs":1e300`)),
-		Entry("with a sequence number too large", registration(`"seq":1e30`)),
-		Entry("with a start too large", registration(`"born":99999999999999999999`)),
-		Entry("with a start in the far future", registration(`"born":9223372036854775807`)),
-		Entry("with a weight version too large", registration(`"models":[{"name":"m0","version":1e30}]`)),
-		Entry("with a start that is not a whole number", registration(`"born":1.5`)),
-		Entry("with very many adapters", registration(`"models":[{"name":"m0","version":1,"adapters":[`+strings.Repeat(`"a",`, 60_000)+`"a"]}]`)),
-		Entry("with a very long name", registration(`"zone":"`+strings.Repeat("z", 200_000)+`"`)),
-	)
+	})
 
 	// Guards against an engine that is lost, since its next registrations look older than
 	// the odd one under its ID.
