Check the soak's new checks on corrupted histories

planned_stop excused a call without a response that no upstream had run; now an upstream must have been at work until the cut, as the operators' rule says. Corrupted histories show that planned_stop and one_version find what they are for.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -268,7 +268,8 @@
 	}
 	for _, stop := range j.plannedStops[c.instance] {
 		hadFault := slices.ContainsFunc(j.instanceFaults[c.instance], func(s interval) bool { return s.overlaps(stop.from.Add(-stabilizationTime), stop.until) })
-		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime
+		// An upstream must have been at work on the call until the cut.
+		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime && j.isCutByInstance(c)
 		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault && !isExcused {
 			j.fail("planned_stop", "%s %s, sent %s after SIGTERM, was aborted by %s after %s",
 				c.kind, c.id, c.sentAt.Sub(stop.from), c.instance, c.endedAt.Sub(c.sentAt))
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -25,7 +25,7 @@
 // served returns a successful call and its execution.
 func served(id string, k callKind, seconds float64) (call, platformtest.Execution) {
 	c := call{
-		id: id, kind: k, path: platformtest.IdempotentPath, key: platformtest.APIKey, instance: "node-0",
+		id: id, chain: id, kind: k, path: platformtest.IdempotentPath, key: platformtest.APIKey, instance: "node-0",
 		sentAt: at(seconds), endedAt: at(seconds + 0.1), status: 200, body: platformtest.PlainResponseBody(id), isComplete: true,
 	}
 	if k == notes || k == advice {
@@ -53,6 +53,14 @@
 	return &h.calls[len(h.calls)-1]
 }
 
+// addCutStream adds a long stream that the instance has cut.
+func (h *history) addCutStream(sent, cut float64) {
+	c := h.add(fmt.Sprint("cut-", sent), guide, sent)
+	c.endedAt, c.isComplete, c.body, c.events = at(cut), false, "", []int{1, 2}
+	run := &h.upstreams[0].runs[len(h.upstreams[0].runs)-1]
+	run.End, run.EndedAt = platformtest.Canceled, at(cut)
+}
+
 func (h *history) addOrder(leader string, fencingToken int64, seconds float64) {
 	h.upstreams[0].orders = append(h.upstreams[0].orders, platformtest.ExecutedOrder{Instance: leader, FencingToken: fencingToken, At: at(seconds)})
 }
@@ -90,6 +98,27 @@
 			c.status, c.endedAt = 0, at(21)
 			h.addPlannedStop("node-0", interval{at(19), at(27)})
 		}),
+		Entry("a stream that a planned stop cuts after its first events", "planned_stop", func(h *history) {
+			h.addCutStream(20, 22)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that a planned stop cuts at its end, though it came late", "planned_stop", func(h *history) {
+			h.addCutStream(22.5, 26)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("streams with events of two software versions in one response", "one_version", func(h *history) {
+			for n := range 3 {
+				h.add(fmt.Sprint("mixed-", n), advice, 20).versions = []string{"v1", "v2"}
+			}
+		}),
+		Entry("streams that callers took up at another software version", "one_version", func(h *history) {
+			for n := range 3 {
+				first := h.add(fmt.Sprint("begun-", n), advice, 20)
+				first.versions, first.isComplete, first.events = []string{"v1"}, false, []int{1, 2}
+				second := h.add(fmt.Sprint("taken-up-", n), advice, 21)
+				second.versions, second.chain, second.firstEvent, second.events = []string{"v2"}, fmt.Sprint("begun-", n), 3, []int{3, 4, 5, 6}
+			}
+		}),
 		Entry("weights that exceed an engine's memory", "memory", func(h *history) { h.upstreams[0].faults = []string{"too much"} }),
 		Entry("credentials forwarded to an upstream", "keys", func(h *history) {
 			h.upstreams[0].runs[0].Header.Set("Authorization", "Bearer x")
@@ -127,6 +156,15 @@
 		Entry("a service that does not recover", "recovery", func(h *history) { h.calls[1].status = 503 }),
 	)
 
+	It("excuses streams that came early and were cut in the last sixth of the grace period, and those that upstreams broke off", func() {
+		h := validHistory()
+		h.addPlannedStop("node-0", interval{at(19), at(27)})
+		h.addCutStream(21, 26)
+		h.addCutStream(20, 22)
+		h.upstreams[0].runs[len(h.upstreams[0].runs)-1].End = platformtest.BrokenOff
+		Expect(checkHistory(h).Violations).To(BeEmpty())
+	})
+
 	It("ignores violations of an instance that was disconnected from the other instances", func() {
 		h := validHistory()
 		h.upstreams[0].runs = h.upstreams[0].runs[:1]
