Add what a restored ledger has lost though others take it for listed

Found by reading: an instance that does not know yet that the store was restored tells the others that a version is listed. They then no longer added it again, so a fresh instance could take the streams of two versions for those of one once 2.2 s had passed.

What was lost is now added again unless a read shows it. "writes again what a restored store has lost also if another instance takes it for listed" failed before and passes.

--- a/coordination/registrar/control.go
+++ b/coordination/registrar/control.go
@@ -45,10 +45,15 @@
 	}
 }
 
+// hear applies what another instance knows. That instance may not know yet that the ledger
+// was restored, so what the ledger has lost is still added again.
 func (r *Registrar) hear(entries []Software) {
 	now := r.config.Now()
 	for _, entry := range entries {
-		r.entry(entry).list(now)
+		known := r.entry(entry)
+		if isLost := known.isListed && known.isMissing; !isLost {
+			known.list(now)
+		}
 	}
 }
 
--- a/coordination/registrar/registrar_test.go
+++ b/coordination/registrar/registrar_test.go
@@ -190,6 +190,23 @@
 		Expect(fresh.confirm()).To(ConsistOf(entry("v1"), entry("v2")))
 	})
 
+	// Guards against a version that stays lost because an instance that does not know of the
+	// restore says that it is listed.
+	It("writes again what a restored store has lost also if another instance takes it for listed", func() {
+		other := newInstance(s, false, &now)
+		other.inUse = []Software{entry("v1")}
+		other.stepOnce()
+		now = now.Add(200 * time.Millisecond)
+		other.stepOnce()
+		s.restore()
+		other.ledger.era = s.era
+		other.stepOnce()
+		other.hear([]Software{entry("v1")})
+		now = now.Add(200 * time.Millisecond)
+		other.stepOnce()
+		Expect(s.entries).To(Equal([]Software{entry("v1")}))
+	})
+
 	It("keeps a version as long as callers may take up its streams, and confirms it before it is used again", func() {
 		recorder := newInstance(s, true, &now)
 		recorder.inUse = []Software{entry("v1"), entry("v2")}
