Keep the software version of a process that an earlier release relays

Found by reading: while instances are upgraded from a release that does not decode the version, a watcher of that release relays registrations without it. Upgraded instances then had engines of unknown version and refused all streams that may be taken up.

A registration of the same process keeps the version that is known. "keeps the software version of an upstream that has not started again" failed before and passes.

--- a/catalog/upstream.go
+++ b/catalog/upstream.go
@@ -87,6 +87,13 @@
 	return u
 }
 
+// WithSoftwareVersion returns a copy with the given version of the software.
+func (u *Upstream) WithSoftwareVersion(version SoftwareVersion) *Upstream {
+	next := *u
+	next.SoftwareVersion = version
+	return &next
+}
+
 // WithoutAdapter returns a copy without an adapter.
 func (u Upstream) WithoutAdapter(name AdapterName) Upstream {
 	models := slices.Clone(u.LoadedModels)
--- a/coordination/observer/state.go
+++ b/coordination/observer/state.go
@@ -240,6 +240,11 @@
 		s.logIgnored(change, last.sequence, true)
 		return
 	}
+	isSameProcess := known != nil && known.StartUnixMilli == next.StartUnixMilli && next.StartUnixMilli != 0
+	if isSameProcess && !next.SoftwareVersion.IsKnown() {
+		// Instances of an earlier release relay registrations without the version.
+		next = next.WithSoftwareVersion(known.SoftwareVersion)
+	}
 	delete(s.departed, next.ID)
 	s.positions[next.ID] = change.Position
 	delete(s.pendingRemovals, next.ID)
