Do not take streams whose engine's link was closed for ones that a stop has cut

The fault of the link closes connections at both ends, so the engine saw its execution canceled as if by the instance.

The history now has the times in which links are refused or closed, and only those excuse a stream. A corrupted history shows that the fault of another upstream's link does not.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -86,7 +86,9 @@
 	result *Result
 	// runs holds the executions of each call, by call ID.
 	runs map[string][]platformtest.Execution
-	byID map[string]*call
+	// runAt holds the IDs of the upstreams that executed each call.
+	runAt map[string][]string
+	byID  map[string]*call
 }
 
 // maxViolationsPerCheck bounds the violations of one check in a result.
@@ -95,7 +97,7 @@
 func checkHistory(h *history) *Result {
 	j := &checker{
 		history: h, result: &Result{Statuses: make(map[int]int), Broken: make(map[string]int)},
-		runs: make(map[string][]platformtest.Execution), byID: make(map[string]*call),
+		runs: make(map[string][]platformtest.Execution), runAt: make(map[string][]string), byID: make(map[string]*call),
 	}
 	for i := range h.calls {
 		c := &h.calls[i]
@@ -107,6 +109,7 @@
 		for _, run := range h.upstreams[i].runs {
 			j.result.Runs++
 			j.runs[run.ID] = append(j.runs[run.ID], run)
+			j.runAt[run.ID] = append(j.runAt[run.ID], h.upstreams[i].id)
 		}
 		j.result.Orders += len(h.upstreams[i].orders)
 	}
@@ -284,6 +287,12 @@
 	if len(runs) == 0 || c.endedAt.Sub(c.sentAt) > maxCutTime {
 		return false
 	}
+	// A link that refuses connections closes the open ones: both ends see that of the other.
+	for _, upstream := range j.runAt[c.id] {
+		if hasOverlap(j.linkFaults[upstream], c.sentAt, c.endedAt) {
+			return false
+		}
+	}
 	return !slices.ContainsFunc(runs, func(run platformtest.Execution) bool { return run.End == platformtest.BrokenOff }) &&
 		runs[len(runs)-1].End == platformtest.Canceled
 }
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -165,6 +165,16 @@
 		Expect(checkHistory(h).Violations).To(BeEmpty())
 	})
 
+	It("excuses streams whose upstream's connections were closed on the way", func() {
+		h := validHistory()
+		h.addPlannedStop("node-0", interval{at(19), at(27)})
+		h.addCutStream(20, 22)
+		h.addLinkFault("i-x", at(21), at(23))
+		Expect(checkHistory(h).Broken).To(HaveKey("planned_stop"))
+		h.addLinkFault("i-c", at(21), at(23))
+		Expect(checkHistory(h).Violations).To(BeEmpty())
+	})
+
 	It("ignores violations of an instance that was disconnected from the other instances", func() {
 		h := validHistory()
 		h.upstreams[0].runs = h.upstreams[0].runs[:1]
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -22,6 +22,8 @@
 	// the faults of the store that affect all instances.
 	plannedStops map[string][]interval
 	storeFaults  []interval
+	// linkFaults holds when the connections to an upstream were refused or closed, by ID.
+	linkFaults map[string][]interval
 	// edits holds the changes of the table, zoneOutages the times in which a zone
 	// was out of service, and drainedAt when an upstream announced that it drains.
 	edits       []edit
@@ -118,6 +120,7 @@
 func newHistory() *history {
 	return &history{
 		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
+		linkFaults:  make(map[string][]interval),
 		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time),
 	}
 }
@@ -167,6 +170,13 @@
 	h.storeFaults = append(h.storeFaults, interval{from, until})
 }
 
+// addLinkFault records that the connections to an upstream are refused or closed.
+func (h *history) addLinkFault(upstream string, from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.linkFaults[upstream] = append(h.linkFaults[upstream], interval{from, until})
+}
+
 // addDrain records that an incarnation of an upstream announced that it drains.
 func (h *history) addDrain(upstream string, at time.Time) {
 	h.mu.Lock()
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -38,6 +38,8 @@
 	maxRollGap       = 1500 * time.Millisecond
 	maxSignalGap     = 5 * time.Second
 	exitPollInterval = 50 * time.Millisecond
+	// closeTime is the time within which both ends of a connection see that it is closed.
+	closeTime = 500 * time.Millisecond
 	// stopGrace is the time between SIGTERM and SIGKILL in a planned stop.
 	stopGrace = 8 * time.Second
 	// rewriteDelay is the time from the return of a restored store until the operators'
@@ -363,7 +365,8 @@
 
 // degradeLink blocks or delays the connections to one upstream.
 func (i *injector) degradeLink() {
-	link := i.soaker.links[i.pickUpstream()]
+	id := i.pickUpstream()
+	link := i.soaker.links[id]
 	if link == nil {
 		return
 	}
@@ -373,10 +376,17 @@
 	if fault == faultproxy.Forward {
 		link.proxy.SetDelay(time.Duration(i.random.IntN(200)) * time.Millisecond)
 	}
-	i.scheduleEnd(func() {
+	from := time.Now()
+	at := i.scheduleEnd(func() {
 		link.proxy.SetDefaultFault(faultproxy.Forward)
 		link.proxy.SetDelay(0)
+		if fault == faultproxy.Refuse {
+			i.soaker.history.addLinkFault(id, from, time.Now())
+		}
 	})
+	if fault == faultproxy.Refuse {
+		i.soaker.history.addLinkFault(id, from, at)
+	}
 }
 
 // blackholeLink blackholes the open connections of one proxy, without an end.
@@ -401,6 +411,7 @@
 	engine := i.soaker.site.CrashUpstream(id)
 	_ = i.soaker.proxyUpstream(id, engine)
 	i.soaker.links[id].proxy.CloseOpenConnections()
+	i.soaker.history.addLinkFault(id, time.Now(), time.Now().Add(closeTime))
 	engine.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Serve })
 }
 
