Keep the planner's connections to engines between its orders

Suspected cause: since orders have a pool of their own, they no longer share the warm connections of requests, and an engine gets an order each four seconds, which is the idle timeout, so most orders opened a connection first.

The planner's client keeps idle connections for 20 s; that for checks as before, since every instance has one and engines bound their connections.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -63,6 +63,9 @@
 	dialTimeout = 250 * time.Millisecond
 	// upstreamIdleTimeout is how long an idle connection to an upstream is kept.
 	upstreamIdleTimeout = 4 * time.Second
+	// orderIdleTimeout is how long an idle connection for orders is kept. Only the planner
+	// leader has some, and an engine gets an order every few seconds.
+	orderIdleTimeout = 20 * time.Second
 	// tcpUserTimeout is how long bytes sent to an upstream may remain
 	// unacknowledged.
 	tcpUserTimeout = time.Second
@@ -130,7 +133,8 @@
 	planner     *planner.Planner
 	proxy       *proxy.Proxy
 	egress      *platform.Egress
-	engines     *platform.EngineClient
+	// engines checks engines for calls, and orders is the planner's client.
+	engines, orders *platform.EngineClient
 	// assembler is used by the control goroutine of the gossiper only.
 	assembler assembler
 	// placementQueue holds the placements to send to peers.
@@ -265,16 +269,9 @@
 		IsCandidate:   i.isCandidate,
 		Logger:        i.logger,
 	})
-	egressConfig := platform.EgressConfig{
-		DialTimeout:             dialTimeout,
-		IdleTimeout:             upstreamIdleTimeout,
-		TCPUserTimeout:          tcpUserTimeout,
-		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
-	}
-	i.egress = platform.NewEgress(egressConfig)
-	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig)
+	i.assembleEngineClients()
 	i.planner = planner.New(planner.Config{
-		Engines:          i.engines,
+		Engines:          i.orders,
 		Leadership:       i.elector,
 		Site:             i.plannedSite,
 		Demand:           i.demand.total,
@@ -284,6 +281,20 @@
 	})
 }
 
+// assembleEngineClients builds the clients of upstreams.
+func (i *Instance) assembleEngineClients() {
+	egressConfig := platform.EgressConfig{
+		DialTimeout:             dialTimeout,
+		IdleTimeout:             upstreamIdleTimeout,
+		TCPUserTimeout:          tcpUserTimeout,
+		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
+	}
+	i.egress = platform.NewEgress(egressConfig)
+	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig)
+	egressConfig.IdleTimeout = orderIdleTimeout
+	i.orders = platform.NewEngineClient(i.self.Instance, egressConfig)
+}
+
 // assembleDataPlane builds the parts that serve calls.
 func (i *Instance) assembleDataPlane() {
 	bounds := &i.settings.Bounds
@@ -470,6 +481,7 @@
 	err = group.Wait()
 	i.egress.Close()
 	i.engines.Close()
+	i.orders.Close()
 	i.logger.Info().AnErr("cause", err).Msg("instance stopped")
 	if errors.Is(err, context.Canceled) {
 		return nil
