Excuse calls that engines were silent on at the end of the grace period

Traced in the logs: both calls had been sent to an engine that sent no byte for 6.6 and 11.9 s, until the instance ended 7.3 s after SIGTERM; they were sent before or less than 3 s after it.

A call is excused there if an upstream was at work on it when it ended, or links to upstreams were disrupted.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -271,8 +271,7 @@
 	}
 	for _, stop := range j.plannedStops[c.instance] {
 		hadFault := slices.ContainsFunc(j.instanceFaults[c.instance], func(s interval) bool { return s.overlaps(stop.from.Add(-stabilizationTime), stop.until) })
-		// An upstream must have been at work on the call until the cut.
-		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime && j.isCutByInstance(c)
+		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime && j.mayBeRunning(c)
 		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault && !isExcused {
 			j.fail("planned_stop", "%s %s, sent %s after SIGTERM, was aborted by %s after %s",
 				c.kind, c.id, c.sentAt.Sub(stop.from), c.instance, c.endedAt.Sub(c.sentAt))
@@ -280,6 +279,15 @@
 	}
 }
 
+// mayBeRunning reports whether an upstream was at work on a call when it ended, or links to
+// upstreams were disrupted, so that the instance cannot know.
+func (j *checker) mayBeRunning(c *call) bool {
+	isRunning := slices.ContainsFunc(j.runs[c.id], func(run platformtest.Execution) bool {
+		return run.End == platformtest.Running || !run.EndedAt.Before(c.endedAt.Add(-closeTime))
+	})
+	return isRunning || hasOverlap(j.linkDisruptions, c.sentAt, c.endedAt)
+}
+
 // isCutByInstance reports whether the instance, and not an upstream, ended the response to
 // a call. At the route's timeout it may.
 func (j *checker) isCutByInstance(c *call) bool {
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -24,6 +24,8 @@
 	storeFaults  []interval
 	// linkFaults holds when the connections to an upstream were refused or closed, by ID.
 	linkFaults map[string][]interval
+	// linkDisruptions holds when connections to any upstream were disrupted in any way.
+	linkDisruptions []interval
 	// edits holds the changes of the table, zoneOutages the times in which a zone
 	// was out of service, and drainedAt when an upstream announced that it drains.
 	edits       []edit
@@ -177,6 +179,13 @@
 	h.linkFaults[upstream] = append(h.linkFaults[upstream], interval{from, until})
 }
 
+// addLinkDisruption records that connections to an upstream are disrupted.
+func (h *history) addLinkDisruption(from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.linkDisruptions = append(h.linkDisruptions, interval{from, until})
+}
+
 // addDrain records that an incarnation of an upstream announced that it drains.
 func (h *history) addDrain(upstream string, at time.Time) {
 	h.mu.Lock()
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -387,6 +387,8 @@
 	if fault == faultproxy.Refuse {
 		i.soaker.history.addLinkFault(id, from, at)
 	}
+	// Connections that have lost bytes stay silent afterwards.
+	i.soaker.history.addLinkDisruption(from, at.Add(longCallTimeout))
 }
 
 // blackholeLink blackholes the open connections of one proxy, without an end.
@@ -399,6 +401,7 @@
 	}
 	if link := i.soaker.links[i.pickUpstream()]; link != nil {
 		link.proxy.BlackholeOpenConnections()
+		i.soaker.history.addLinkDisruption(time.Now(), time.Now().Add(longCallTimeout))
 	}
 }
 
