--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -43,6 +43,9 @@
 	// drainDelay is how long the instance accepts new connections after a shutdown has
 	// begun.
 	drainDelay = 3500 * time.Millisecond
+	// requestReadDelay is the time from accepting a connection until its first request is
+	// read.
+	requestReadDelay = 100 * time.Millisecond
 	// lingerTime is how long an instance rejects calls before it stops, so that those on
 	// connections accepted until then get a response.
 	lingerTime = 200 * time.Millisecond
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -31,6 +31,8 @@
 	case <-ctx.Done():
 	}
 	_ = listener.Close()
+	// The first requests on connections that were accepted until now are still served.
+	time.Sleep(requestReadDelay)
 	if err := i.calls.close(ctx); err != nil {
 		i.logger.Warn().Err(err).Msg("grace period expired with requests in flight")
 		return
