Do not choose an engine for weights that it has lost in a restart

Callers of our own surroundings got 503 "overloaded" after engines had crashed, although another engine had the model and was idle.

Cause: the placement names a restarted engine until the planner has seen that its weights are gone, for about 2 s. Each request that preferred the engine got 404 from it and was retried from the workspace's retry budget. When the budget was used up, the request was rejected.

Fix: a 404 marks the weights as absent on the engine until their placement gets a new fencing token, for at most 1 s, and the retry after it is free. An instance gets such an answer once a second from each engine, beside the requests in flight, so the budget still bounds the attempts.

--- a/integration/fault_test.go
+++ b/integration/fault_test.go
@@ -119,6 +119,42 @@
 		}
 	})
 
+	// Guards against requests that are rejected while an upstream is free: one that has
+	// restarted without its weights was chosen again for each of them, until the retries of
+	// the workspace were used up.
+	It("serves every request while an upstream that has restarted loads its model again", func() {
+		f := startFleet(3)
+		shoes := caller.New(f.apiKeys["shoes"])
+		send := func(number int) caller.Response {
+			body := fmt.Sprintf(`{"model":"letters","max_tokens":5,"messages":[{"role":"user","content":"question %d"}]}`, number)
+			reply, err := shoes.Send(context.Background(), http.MethodPost, f.running()[0].callerAddress, "/v1/chat/completions", nil, body)
+			Expect(err).NotTo(HaveOccurred())
+			return reply
+		}
+		restart := func(engines []*stager.Engine) {
+			for _, engine := range engines {
+				engine.Server.Restart(false)
+			}
+		}
+		awaitReplicas := func() {
+			GinkgoHelper()
+			Eventually(func() int { return len(f.enginesServing("letters")) }, "20s", "20ms").Should(BeNumerically(">=", 2))
+			time.Sleep(time.Second) // The instances learn of the replicas through the log.
+		}
+		awaitReplicas()
+		// The workspace uses up its retries while no engine has the model.
+		restart(f.enginesServing("letters"))
+		for number := range 60 {
+			send(number)
+		}
+		awaitReplicas()
+		restart(f.enginesServing("letters")[1:])
+		for number := range 100 {
+			reply := send(number)
+			Expect(reply.Status).To(Equal(http.StatusOK), "request %d: %s", number, reply.Body)
+		}
+	})
+
 	// Guards against failed streams of other callers. The crash of an upstream
 	// closes the connections of all its streams.
 	It("resumes the other streams of an upstream that a request crashes", func() {
@@ -213,14 +249,23 @@
 	return crashes
 }
 
-// zoneServing returns the availability zone of an engine that has a model loaded,
-// or an empty string.
-func (f *fleet) zoneServing(model string) string {
+// enginesServing returns the engines that have a model loaded.
+func (f *fleet) enginesServing(model string) []*stager.Engine {
+	var engines []*stager.Engine
 	for _, engine := range f.site.Engines {
 		if slices.Contains(engine.Server.LoadedLabels(), model+"@1") {
-			return engine.Zone
+			engines = append(engines, engine)
 		}
 	}
+	return engines
+}
+
+// zoneServing returns the availability zone of an engine that has a model loaded,
+// or an empty string.
+func (f *fleet) zoneServing(model string) string {
+	if engines := f.enginesServing(model); len(engines) > 0 {
+		return engines[0].Zone
+	}
 	return ""
 }
 
--- a/protocol/dispatcher/dispatcher.go
+++ b/protocol/dispatcher/dispatcher.go
@@ -80,6 +80,9 @@
 	requestQueue *requestQueue
 	permits      *limiter.Semaphore
 	tokens       float64
+	// weights is empty for services. fencingToken is the token of their placement.
+	weights      string
+	fencingToken uint64
 }
 
 // Dispatcher assigns requests to upstreams. It is safe for concurrent use.
@@ -102,6 +105,7 @@
 	throughput      rateMeter
 	candidateBuffer []balancer.Candidate
 	targets         targetCache
+	absences        map[absenceKey]absence
 }
 
 // New returns a dispatcher. Run starts it.
@@ -167,7 +171,7 @@
 	defer d.mu.Unlock()
 	q, found := d.queues[queue]
 	if !found {
-		q = &requestQueue{queue: d.config.NewQueue()}
+		q = &requestQueue{queue: d.config.NewQueue(), absences: make(map[absenceKey]absence)}
 		d.queues[queue] = q
 	}
 	return q
@@ -234,7 +238,7 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !hasUntried(d.targets(q, &request), request.Tried) {
+	if !q.hasUntried(d.targets(q, &request), &request, now) {
 		return nil, nil, rejecter.New(http.StatusServiceUnavailable, rejecter.NoUpstream,
 			"no upstream is available to serve the request").WithRetryAfter(time.Second)
 	}
@@ -334,7 +338,10 @@
 		return nil
 	}
 	q.inFlight++
-	return &Lease{Upstream: t.upstream, requestQueue: q, permits: t.permits, tokens: request.Tokens}
+	return &Lease{
+		Upstream: t.upstream, requestQueue: q, permits: t.permits, tokens: request.Tokens,
+		weights: request.Weights, fencingToken: t.fencingToken,
+	}
 }
 
 // candidates fills the queue's buffer with the targets of a request, whether or not
@@ -348,7 +355,7 @@
 			Hash:      t.hash,
 			Load:      d.load(t),
 			SameZone:  t.upstream.AvailabilityZone == d.config.AvailabilityZone,
-			Available: !slices.Contains(request.Tried, t.upstream.ID) && !d.config.Health.InBackoff(t.upstream.ID, now),
+			Available: !slices.Contains(request.Tried, t.upstream.ID) && !d.config.Health.InBackoff(t.upstream.ID, now) && !q.lacksWeights(t, request, now),
 		})
 	}
 	q.candidateBuffer = candidates
--- a/protocol/dispatcher/target.go
+++ b/protocol/dispatcher/target.go
@@ -17,6 +17,8 @@
 	key      limiter.ResourceKey
 	permits  *limiter.Semaphore
 	hash     uint64
+	// fencingToken is the token of the placement of the weights, or 0 for services.
+	fencingToken uint64
 	// requestedAt is when permits for a preferred upstream were last requested.
 	requestedAt time.Time
 }
@@ -45,9 +47,12 @@
 func (d *Dispatcher) findTargets(state *applier.State, request *Request) []target {
 	table := state.Table()
 	ids := request.Upstreams
+	// An upstream occurs twice while it has two versions of the weights loaded.
+	fencingTokens := make(map[string]uint64)
 	if request.Weights != "" {
 		for _, residency := range state.ResidentReplicas(request.Weights) {
 			ids = append(ids, residency.Upstream)
+			fencingTokens[residency.Upstream] = max(fencingTokens[residency.Upstream], residency.FencingToken)
 		}
 	}
 	var targets []target
@@ -58,27 +63,25 @@
 		}
 		key := limiter.ResourceKey{Kind: limiter.UpstreamInFlight, ID: id}
 		targets = append(targets, target{
-			upstream: upstream,
-			key:      key,
-			permits:  d.config.Limits.Semaphore(key),
-			hash:     xxhash.Sum64String(id),
+			upstream:     upstream,
+			key:          key,
+			permits:      d.config.Limits.Semaphore(key),
+			hash:         xxhash.Sum64String(id),
+			fencingToken: fencingTokens[id],
 		})
 	}
 	return targets
 }
 
-// hasUntried reports whether there is a target that a request has not tried.
-func hasUntried(targets []target, tried []string) bool {
-	return slices.ContainsFunc(targets, func(t target) bool { return !slices.Contains(tried, t.upstream.ID) })
+// hasUntried reports whether there is a target that a request has not tried and that has
+// its weights. The caller must hold the queue's lock.
+func (q *requestQueue) hasUntried(targets []target, request *Request, now time.Time) bool {
+	return slices.ContainsFunc(targets, func(t target) bool {
+		return !slices.Contains(request.Tried, t.upstream.ID) && !q.lacksWeights(&t, request, now)
+	})
 }
 
-// hasTarget reports whether the list contains an upstream. An upstream occurs twice
-// while it has two versions of the weights loaded.
+// hasTarget reports whether the list contains an upstream.
 func hasTarget(targets []target, id string) bool {
-	for i := range targets {
-		if targets[i].upstream.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(targets, func(t target) bool { return t.upstream.ID == id })
 }
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -142,6 +142,10 @@
 // errRejected reports an attempt that an engine declined to run.
 var errRejected = fmt.Errorf("%w: rejected by the engine", errRetry)
 
+// errWeightsAbsent reports an attempt at an engine that has lost the weights. The engine is
+// not chosen for them again, so the next attempt does not count as a retry.
+var errWeightsAbsent = fmt.Errorf("%w: without the weights", errRejected)
+
 // tryUpstreams sends the request to one upstream after another until one serves it.
 func (r *modelRun) tryUpstreams(ctx context.Context) error {
 	for attempt := 1; ; attempt++ {
@@ -168,7 +172,10 @@
 			r.lastError = errCrashesUpstreams
 			return r.fail(ctx)
 		}
-		if attempt >= r.executor.config.MaxAttempts || !r.executor.retryBudgets.tryWithdraw(r.identity.Workspace.ID) {
+		if attempt >= r.executor.config.MaxAttempts {
+			return r.fail(ctx)
+		}
+		if !errors.Is(err, errWeightsAbsent) && !r.executor.retryBudgets.tryWithdraw(r.identity.Workspace.ID) {
 			return r.fail(ctx)
 		}
 		if !pause(ctx, backoff(attempt)) {
@@ -268,6 +275,13 @@
 	}
 	defer response.Body.Close()
 	r.executor.config.Health.RecordResponse(lease.Upstream.ID, response.Incarnation)
+	if response.Status == http.StatusNotFound {
+		r.executor.config.Dispatcher.RecordAbsence(lease)
+		r.executor.config.Logger.Warn().Str("upstream", lease.Upstream.ID).Str("model", r.call.Model).Msg("engine has lost the weights")
+		r.lastError = rejecter.New(http.StatusServiceUnavailable, rejecter.NoUpstream,
+			"no engine has loaded the model").WithRetryAfter(time.Second)
+		return errWeightsAbsent
+	}
 	if isRejection(response.Status) {
 		r.lastError = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded,
 			"the engines accept no more requests").WithRetryAfter(time.Second)
@@ -281,10 +295,9 @@
 }
 
 // isRejection reports whether a status means that an engine declined to run a
-// request: it is overloaded, shutting down or has not loaded the weights.
+// request: it is overloaded or shutting down.
 func isRejection(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
-		status == http.StatusNotFound
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
 func (r *modelRun) handleUpstreamError(ctx context.Context, lease *dispatcher.Lease, err error) error {
