Split the long files of the instance, the proxy, the engine double and the soak

Each file has one subject now: the assembly of a hosted instance beside the running one, the responses and the crashes beside the attempts of a call, the orders and the requests of the engine double, the families of the soak's checks and faults.

--- /dev/null
+++ b/protocol/proxy/response.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/crocushollow/crocushollow"
+	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/throttler"
+)
+
+// handleResponse classifies a response and forwards it to the caller.
+func (r *run) handleResponse(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
+	r.record.Attempts++
+	r.observeRateLimit(&reservation.Upstream, response)
+	if response.NotRun {
+		r.record.Cause = errNotRun
+		return selector.Refused, r.afterNotRun()
+	}
+	r.mayHaveRun = true
+	if !response.Verified {
+		r.record.Cause = errNotVerified
+		return selector.Failed, r.afterFailure()
+	}
+	if response.Status == http.StatusOK && r.route.Kind == catalog.Streaming {
+		return r.streamEvents(ctx, reservation, response)
+	}
+	return r.writeBuffered(ctx, reservation, response)
+}
+
+var (
+	errNotRun           = errors.New("the upstream did not run the request")
+	errNotVerified      = errors.New("the response does not belong to the request or does not come from an upstream")
+	errResponseTooLarge = errors.New("the response or one of its events is too large for the memory that is left")
+	errNoEvents         = errors.New("the stream has no events with IDs")
+)
+
+// observeRateLimit records the limit that a response names for the requests to its
+// upstream. A complete response without one ends the limit; the upstream may send
+// refusals and errors without it.
+func (r *run) observeRateLimit(upstream *catalog.Upstream, response *Response) {
+	config := &r.proxy.config
+	now := config.Now()
+	switch limit := response.RateLimit; {
+	case limit == nil && response.Verified && !response.NotRun && response.Status < http.StatusInternalServerError:
+		config.Throttler.Observe(upstream, throttler.Limit{}, now)
+	case limit == nil:
+	case limit.Err != nil:
+		config.Observer.RateLimitInvalid(upstream.ID, limit.Err)
+	default:
+		config.Throttler.Observe(upstream, throttler.Limit{IsActive: true, PerSecond: limit.PerSecond}, now)
+	}
+}
+
+// writeBuffered reads a whole response and sends it to the caller.
+func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
+	buffer := newResponseBuffer(&r.proxy.buffered, maxResponseBytes)
+	defer buffer.release()
+	err := error(nil)
+	for err == nil {
+		err = buffer.read(response.Body)
+	}
+	reservation.MarkFirstByte()
+	config := &r.proxy.config
+	if !errors.Is(err, io.EOF) {
+		r.record.Cause = err
+		if ctx.Err() != nil {
+			return r.handleCancellation(ctx)
+		}
+		if !errors.Is(err, errResponseTooLarge) {
+			r.recordCrash(&reservation.Upstream)
+		}
+		return selector.Unreachable, r.afterFailure()
+	}
+	if response.Status >= http.StatusInternalServerError && r.mayRetryServerError() {
+		return selector.Failed, retry
+	}
+	if r.headerSent {
+		// A stream that has begun cannot continue with another kind of response.
+		return selector.Failed, failed
+	}
+	if response.Status == http.StatusOK {
+		config.Parts.RecordCompletion(r.parts, config.Now())
+	}
+	response.Header.Set("Content-Length", strconv.Itoa(len(buffer.bytes)))
+	r.writeHeader(response)
+	if err := r.writer.Write(buffer.bytes); err != nil {
+		r.record.CallerLeft = true
+		return selector.Served, callerLeft
+	}
+	if response.Status >= http.StatusInternalServerError {
+		return selector.Failed, finished
+	}
+	return selector.Served, finished
+}
+
+// mayRetryServerError reports whether a response with a 5xx status may be followed
+// by another attempt.
+func (r *run) mayRetryServerError() bool {
+	return r.route.IsRetryable() && r.record.Attempts < r.route.MaxAttempts &&
+		r.proxy.config.Now().Before(r.deadline)
+}
+
+// writeHeader sends the status and the header of a response.
+func (r *run) writeHeader(response *Response) {
+	r.headerSent = true
+	r.record.Status = response.Status
+	r.record.TimeToFirstByte = r.proxy.config.Now().Sub(r.call.ArrivedAt)
+	r.writer.WriteHeader(response.Status, response.Header)
+}
+
+// fail ends a call that no upstream served. It aborts the response if its header was
+// already sent.
+func (r *run) fail(ctx context.Context, apiErr *rejecter.Error) {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut) {
+		r.record.CallerLeft = true
+		return
+	}
+	if r.headerSent {
+		r.record.Aborted = true
+		r.writer.Abort()
+		return
+	}
+	if ctx.Err() != nil {
+		apiErr = errTimedOut
+		if !r.mayHaveRun {
+			apiErr = errDeadlinePassed
+		}
+	}
+	r.writeError(apiErr)
+}
+
+func (r *run) writeError(apiErr *rejecter.Error) {
+	r.record.Error, r.record.Status = apiErr, apiErr.Status
+	if apiErr.Outcome == crocushollow.OutcomeNotRun && r.charged > 0 {
+		r.proxy.config.Allotter.Refund(r.workspace, r.charged, r.proxy.config.Now())
+	}
+	r.writer.WriteError(apiErr)
+}
--- /dev/null
+++ b/standin/soaker/checker_calls.go
@@ -0,0 +1,161 @@
+package soaker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+// checkCalls checks each call on its own: executions, response and duration.
+func (j *checker) checkCalls() {
+	for i := range j.calls {
+		c := &j.calls[i]
+		runs := len(j.runs[c.id])
+		if runs > 1 && !c.kind.isRepeatable() {
+			j.fail("at_most_once", "%s %s was executed %d times", c.kind, c.id, runs)
+		}
+		if meansNotExecuted(c.status) && runs > 0 && !c.kind.isRepeatable() {
+			j.fail("true_refusals", "%s %s got status %d but was executed", c.kind, c.id, c.status)
+		}
+		j.checkResponse(c)
+		duration := c.endedAt.Sub(c.sentAt)
+		limit := responseTimeLimit
+		if c.kind.isLong() {
+			limit = longResponseTimeLimit
+		}
+		if duration > limit && !c.refused && j.isStable(c.instance, c.sentAt, c.endedAt) {
+			j.fail("answered_in_time", "%s %s took %s at %s", c.kind, c.id, duration, c.instance)
+		}
+		j.checkPlannedStop(c)
+	}
+}
+
+// meansNotExecuted reports whether a status guarantees that the request was not
+// executed.
+func meansNotExecuted(status int) bool { return slices.Contains([]int{408, 421, 429, 503}, status) }
+
+// checkResponse checks that a successful response is complete and belongs to its call.
+func (j *checker) checkResponse(c *call) {
+	if c.status != 200 {
+		return
+	}
+	if c.kind.isStream() {
+		for number, id := range c.events {
+			if id != number+max(c.firstEvent, 1) {
+				j.fail("whole_answers", "%s %s has the events %v", c.kind, c.id, c.events)
+				return
+			}
+		}
+		if strings.Count(c.body, "data: ") > strings.Count(c.body, " of "+c.id+" by ")+1 {
+			j.fail("own_answers", "%s %s got events of another call", c.kind, c.id)
+		}
+		if c.isComplete && len(c.events)+max(c.firstEvent, 1)-1 != c.kind.eventCount() {
+			j.fail("whole_answers", "%s %s looks complete after %d events", c.kind, c.id, len(c.events))
+		}
+		return
+	}
+	if c.isComplete && c.body != platformtest.PlainResponseBody(c.id) {
+		j.fail("own_answers", "%s %s got %q", c.kind, c.id, c.body)
+	}
+}
+
+// eventsPerStream is the number of events of a complete stream that is not long.
+const eventsPerStream = 6
+
+// eventCount returns the number of events of a complete stream.
+func (k callKind) eventCount() int {
+	if k.isLong() {
+		return platformtest.LongStreamEvents
+	}
+	return eventsPerStream
+}
+
+// checkVersions checks that streams keep the software version that began them, within a
+// response and over the attempts of a caller.
+func (j *checker) checkVersions() {
+	versions := make(map[string]map[string]bool)
+	var mixed []string
+	for i := range j.calls {
+		c := &j.calls[i]
+		j.countStream(c)
+		for _, version := range c.versions {
+			known := versions[c.chain]
+			if known == nil {
+				known = make(map[string]bool)
+				versions[c.chain] = known
+			}
+			if known[version] = true; len(known) == 2 && !slices.Contains(mixed, c.chain) {
+				mixed = append(mixed, c.chain)
+			}
+		}
+	}
+	if len(mixed) > maxMixedStreams {
+		j.fail("one_version", "streams with events of two software versions: %v", mixed)
+	}
+}
+
+// countStream counts a stream that may be resumed, as begun or taken up.
+func (j *checker) countStream(c *call) {
+	isServed := 0
+	if c.status == 200 && c.isComplete {
+		isServed = 1
+	}
+	switch {
+	case !c.kind.isResumable() || c.canceled || c.refused:
+	case c.firstEvent > 1:
+		j.result.TakenUp++
+		j.result.TakenUpServed += isServed
+	default:
+		j.result.Begun++
+		j.result.BegunServed += isServed
+	}
+}
+
+// checkPlannedStop checks that an instance that shuts down gracefully answers the
+// requests that it has read.
+func (j *checker) checkPlannedStop(c *call) {
+	isCut := c.status == 0 && c.endedAt.Sub(c.sentAt) >= requestReadTime || c.status == 200 && !c.isComplete && j.isCutByInstance(c)
+	if !isCut || c.refused || c.canceled {
+		return
+	}
+	for _, stop := range j.plannedStops[c.instance] {
+		hadFault := slices.ContainsFunc(j.instanceFaults[c.instance], func(s interval) bool { return s.overlaps(stop.from.Add(-stabilizationTime), stop.until) })
+		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime && j.mayBeRunning(c)
+		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault && !isExcused {
+			j.fail("planned_stop", "%s %s, sent %s after SIGTERM, was aborted by %s after %s",
+				c.kind, c.id, c.sentAt.Sub(stop.from), c.instance, c.endedAt.Sub(c.sentAt))
+		}
+	}
+}
+
+// mayBeRunning reports whether an upstream was at work on a call when it ended, or links to
+// upstreams were disrupted, so that the instance cannot know.
+func (j *checker) mayBeRunning(c *call) bool {
+	isRunning := slices.ContainsFunc(j.runs[c.id], func(run platformtest.Execution) bool {
+		return run.End == platformtest.Running || !run.EndedAt.Before(c.endedAt.Add(-closeTime))
+	})
+	return isRunning || hasOverlap(j.linkDisruptions, c.sentAt, c.endedAt)
+}
+
+// isCutByInstance reports whether the instance, and not an upstream, ended the response to
+// a call. At the route's timeout it may.
+func (j *checker) isCutByInstance(c *call) bool {
+	runs := j.runs[c.id]
+	if len(runs) == 0 || c.endedAt.Sub(c.sentAt) > maxCutTime {
+		return false
+	}
+	// A link that refuses connections closes the open ones: both ends see that of the other.
+	for _, upstream := range j.runAt[c.id] {
+		if hasOverlap(j.linkFaults[upstream], c.sentAt, c.endedAt) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(runs, func(run platformtest.Execution) bool { return run.End == platformtest.BrokenOff }) &&
+		runs[len(runs)-1].End == platformtest.Canceled
+}
+
+// maxCutTime is the time for which an instance has no reason to end the response to a long
+// call, whose route has a timeout of 12 s.
+const maxCutTime = 10 * time.Second
--- /dev/null
+++ b/standin/soaker/upstream_faults.go
@@ -0,0 +1,152 @@
+package soaker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+	"github.com/crocushollow/crocushollow/standin/faultproxy"
+)
+
+// upstreamLink is the network path from the instances to one upstream.
+type upstreamLink struct{ proxy *faultproxy.Proxy }
+
+// proxyUpstream puts a proxy in front of an upstream. A restarted upstream keeps
+// its proxy.
+func (s *Soaker) proxyUpstream(id string, engine *platformtest.Upstream) error {
+	if known := s.links[id]; known != nil {
+		known.proxy.SetTarget(engine.Address())
+		engine.SetAdvertisedAddress(known.proxy.Address())
+		return nil
+	}
+	proxy, err := faultproxy.Start("127.0.0.1:0", engine.Address())
+	if err != nil {
+		return err
+	}
+	s.links[id] = &upstreamLink{proxy: proxy}
+	engine.SetAdvertisedAddress(proxy.Address())
+	return nil
+}
+
+// pickUpstream returns the ID of a random upstream that isn't draining, or an
+// empty string if there is none.
+func (i *injector) pickUpstream() string {
+	var ids []string
+	for id := range i.soaker.site.Upstreams() {
+		if !i.busy[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[i.random.IntN(len(ids))]
+}
+
+// degradeLink blocks or delays the connections to one upstream.
+func (i *injector) degradeLink() {
+	id := i.pickUpstream()
+	link := i.soaker.links[id]
+	if link == nil {
+		return
+	}
+	choices := []faultproxy.Fault{faultproxy.Blackhole, faultproxy.Refuse, faultproxy.DropResponses, faultproxy.Forward}
+	fault := choices[i.random.IntN(len(choices))]
+	link.proxy.SetDefaultFault(fault)
+	if fault == faultproxy.Forward {
+		link.proxy.SetDelay(time.Duration(i.random.IntN(200)) * time.Millisecond)
+	}
+	from := time.Now()
+	at := i.scheduleEnd(func() {
+		link.proxy.SetDefaultFault(faultproxy.Forward)
+		link.proxy.SetDelay(0)
+		if fault == faultproxy.Refuse {
+			i.soaker.history.addLinkFault(id, from, time.Now())
+		}
+	})
+	if fault == faultproxy.Refuse {
+		i.soaker.history.addLinkFault(id, from, at)
+	}
+	// Connections that have lost bytes stay silent afterwards.
+	i.soaker.history.addLinkDisruption(from, at.Add(longCallTimeout))
+}
+
+// blackholeLink blackholes the open connections of one proxy, without an end.
+func (i *injector) blackholeLink() {
+	if i.random.IntN(2) == 0 {
+		p := i.soaker.fleet[i.random.IntN(len(i.soaker.fleet))]
+		p.store.BlackholeOpenConnections()
+		i.soaker.history.addInstanceFault(p.name, time.Now(), time.Now())
+		return
+	}
+	if link := i.soaker.links[i.pickUpstream()]; link != nil {
+		link.proxy.BlackholeOpenConnections()
+		i.soaker.history.addLinkDisruption(time.Now(), time.Now().Add(longCallTimeout))
+	}
+}
+
+// crashUpstream crashes an upstream, which restarts under the same ID.
+func (i *injector) crashUpstream() {
+	id := i.pickUpstream()
+	if id == "" {
+		return
+	}
+	engine := i.soaker.site.CrashUpstream(id)
+	_ = i.soaker.proxyUpstream(id, engine)
+	i.soaker.links[id].proxy.CloseOpenConnections()
+	i.soaker.history.addLinkFault(id, time.Now(), time.Now().Add(closeTime))
+	engine.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Serve })
+}
+
+// drainUpstream makes a plain upstream announce that it drains. It restarts under
+// the same ID afterwards.
+func (i *injector) drainUpstream() {
+	id := i.pickUpstream()
+	engine := i.soaker.site.Upstreams()[id]
+	if engine == nil || engine.IsModelEngine() || i.busy["leaving"] {
+		return
+	}
+	i.busy[id], i.busy["leaving"] = true, true
+	i.soaker.site.DrainUpstream(id)
+	i.soaker.history.addDrain(id+"/"+engine.Address(), time.Now())
+	i.scheduled = append(i.scheduled, scheduledAction{time.Now().Add(drainServeTime), func() {
+		_ = i.soaker.proxyUpstream(id, i.soaker.site.CrashUpstream(id))
+		i.busy[id], i.busy["leaving"] = false, false
+	}})
+}
+
+// takeZoneOut takes one zone out of service temporarily. The outage lasts
+// longer than zoneTimeLimit.
+func (i *injector) takeZoneOut() {
+	if i.busy["zone"] {
+		return
+	}
+	i.busy["zone"] = true
+	zone := []string{"za", "zb"}[i.random.IntN(2)]
+	i.soaker.site.EvacuateZone(zone)
+	from := time.Now()
+	i.scheduled = append(i.scheduled, scheduledAction{from.Add(maxFaultDuration + 2*time.Second), func() {
+		i.soaker.history.addZoneOutage(zone, interval{from, time.Now()})
+		i.soaker.site.RestoreZone(zone)
+		i.busy["zone"] = false
+	}})
+}
+
+// limitUpstream makes an upstream name a rate limit in its responses.
+func (i *injector) limitUpstream() {
+	id := i.pickUpstream()
+	engine := i.soaker.site.Upstreams()[id]
+	if engine == nil || i.busy["limit "+id] {
+		return
+	}
+	i.busy["limit "+id] = true
+	perSecond := i.random.Float64() * maxRateLimit
+	engine.SetRateLimit(perSecond)
+	from := time.Now()
+	i.scheduled = append(i.scheduled, scheduledAction{from.Add(rateLimitTime), func() {
+		engine.RemoveRateLimit()
+		i.soaker.history.addRateLimit(rateLimit{incarnation: id + "/" + engine.Address(), perSecond: perSecond, interval: interval{from, time.Now()}})
+		i.busy["limit "+id] = false
+	}})
+}
