--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -118,7 +118,7 @@
 			defer GinkgoRecover()
 			response, err := platformtest.Send(context.Background(), callers, platformtest.Request{
 				Path: platformtest.LongPath + "1", Model: platformtest.Model, Body: "prompt", APIKey: platformtest.APIKey,
-				Header: map[string]string{"X-Deadline-Ms": "12000"},
+				Timeout: 12 * time.Second,
 			})
 			Expect(err).NotTo(HaveOccurred())
 			responses <- response
--- a/integration/hosted_control_test.go
+++ b/integration/hosted_control_test.go
@@ -25,17 +25,17 @@
 )
 
 // respondingUpstreams sends a request a number of times, to one instance after
-// another, and returns the stamps of the upstreams that run it.
+// another, and returns the IDs of the upstreams that run it.
 func (f *hostedFleet) respondingUpstreams(r platformtest.Request, times int) map[string]bool {
 	GinkgoHelper()
-	stamps := make(map[string]bool)
+	ids := make(map[string]bool)
 	for n := range times {
 		answer := f.sendTo(n%len(f.Instances), r)
 		if answer.Status == 200 {
-			stamps[answer.Header.Get("X-Response-Stamp")] = true
+			ids[answer.UpstreamID()] = true
 		}
 	}
-	return stamps
+	return ids
 }
 
 var _ = Describe("The control plane of instances on the platform", func() {
@@ -83,17 +83,17 @@
 	It("sends no requests to a zone that is taken out of service and uses it again after its return", func() {
 		f := startHostedFleet(2)
 		f.EvacuateZone("za")
-		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, zoneRemovalTimeout).Should(And(HaveLen(1), HaveKey("stamp-i-d")))
+		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, zoneRemovalTimeout).Should(And(HaveLen(1), HaveKey("i-d")))
 		f.EvacuateZone("zb")
 		f.RestoreZone("za")
-		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, zoneRemovalTimeout).Should(And(HaveLen(1), HaveKey("stamp-i-c")))
+		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, zoneRemovalTimeout).Should(And(HaveLen(1), HaveKey("i-c")))
 	})
 
 	// Guards against requests to an upstream that is about to stop.
 	It("sends no requests to an upstream that reports that it drains", func() {
 		f := startHostedFleet(2)
 		f.DrainUpstream("i-c")
-		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, drainTimeout).Should(And(HaveLen(1), HaveKey("stamp-i-d")))
+		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, drainTimeout).Should(And(HaveLen(1), HaveKey("i-d")))
 	})
 
 	// Guards against an invalid registration that stops the processing of others.
--- a/integration/hosted_framing_test.go
+++ b/integration/hosted_framing_test.go
@@ -33,7 +33,7 @@
 		f.DeregisterUpstream("i-c")
 		f.DeregisterUpstream("i-d")
 		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 8) }, drainTimeout).
-			Should(And(HaveLen(1), HaveKey("stamp-"+plain)))
+			Should(And(HaveLen(1), HaveKey(plain)))
 		return f
 	}
 
@@ -87,7 +87,7 @@
 	It("are streams that were broken off if they end before the first event of a continuation", func() {
 		f := startHostedFleet(2)
 		f.replaceEngines(4, true, func(execution platformtest.Execution) platformtest.Behaviour {
-			if execution.Header.Get("Last-Event-Id") == "" {
+			if !execution.IsContinuation() {
 				return platformtest.ResetMidStream
 			}
 			return platformtest.CloseBeforeFirstEvent
@@ -95,9 +95,7 @@
 		broken := f.send(adviceRequest())
 		Expect(broken.EventIDs()).To(Equal([]int{1}))
 		Expect(broken.Complete).To(BeFalse())
-		request := adviceRequest()
-		request.Header = map[string]string{"Last-Event-Id": "1", "Resumes": broken.ID}
-		takenUp := f.sendTo(1, request)
+		takenUp := f.sendTo(1, adviceRequest().WithTakeUp(broken.ID, 1))
 		Expect(takenUp.Status == 200 && takenUp.Complete).To(BeFalse())
 	})
 })
--- a/integration/hosted_restore_test.go
+++ b/integration/hosted_restore_test.go
@@ -26,17 +26,17 @@
 		table.Version, table.ExtraIdempotentPaths = 9, []string{"/new/"}
 		f.PutTable(table)
 		Eventually(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, zoneRemovalTimeout, "50ms").
-			Should(And(HaveKey("stamp-i-new"), Not(HaveKey("stamp-i-d"))))
+			Should(And(HaveKey("i-new"), Not(HaveKey("i-d"))))
 		f.Store.Restore(earlier)
 		rewritten := time.Now().Add(rewriteDelay)
 		for time.Now().Before(rewritten) {
-			Expect(f.respondingUpstreams(platformtest.Request{Path: "/new/1"}, 6)).To(And(Not(BeEmpty()), Not(HaveKey("stamp-i-d"))))
+			Expect(f.respondingUpstreams(platformtest.Request{Path: "/new/1"}, 6)).To(And(Not(BeEmpty()), Not(HaveKey("i-d"))))
 		}
 		f.EvacuateZone("zb")
 		f.PutTable(table)
 		Consistently(func() map[string]bool { return f.respondingUpstreams(stockRequest(), 6) }, "3s", "50ms").
-			Should(Not(HaveKey("stamp-i-d")))
-		Expect(f.respondingUpstreams(stockRequest(), 12)).To(HaveKey("stamp-i-new"))
+			Should(Not(HaveKey("i-d")))
+		Expect(f.respondingUpstreams(stockRequest(), 12)).To(HaveKey("i-new"))
 	})
 
 	// Guards against changes that are ignored because their offsets are lower than those of
@@ -58,7 +58,7 @@
 			Eventually(func() int { return f.sendTo(n, platformtest.Request{Path: "/new/1"}).Status }, tableUpdateTimeout, "20ms").Should(Equal(200))
 		}
 		time.Sleep(time.Until(changedAt.Add(drainLimit)))
-		Expect(f.respondingUpstreams(stockRequest(), 12)).To(Equal(map[string]bool{"stamp-i-d": true}))
+		Expect(f.respondingUpstreams(stockRequest(), 12)).To(Equal(map[string]bool{"i-d": true}))
 	})
 
 	// Guards against instances that later ones do not find because the copy does not list
--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -82,7 +82,7 @@
 		return f
 	}
 	stream := notesRequest()
-	stream.Header = map[string]string{"X-Deadline-Ms": "15000"}
+	stream.Timeout = 15 * time.Second
 
 	// Guards against requests that an instance accepts when too little of the grace period
 	// is left for them, and cuts at its end.
--- a/integration/hosted_versions_test.go
+++ b/integration/hosted_versions_test.go
@@ -86,7 +86,7 @@
 // first time in their middle.
 func resetFirstAttempts() func(platformtest.Execution) platformtest.Behaviour {
 	return func(execution platformtest.Execution) platformtest.Behaviour {
-		if execution.Header.Get("Last-Event-Id") == "" {
+		if !execution.IsContinuation() {
 			return platformtest.ResetMidStream
 		}
 		return platformtest.Serve
@@ -290,9 +290,7 @@
 	for index := range streams {
 		pending.Go(func() {
 			defer GinkgoRecover()
-			request := adviceRequest()
-			request.Header = map[string]string{"Last-Event-Id": "1", "Resumes": streams[index].first.ID}
-			streams[index].second = f.sendTo(n, request)
+			streams[index].second = f.sendTo(n, adviceRequest().WithTakeUp(streams[index].first.ID, 1))
 		})
 	}
 	pending.Wait()
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -51,8 +50,10 @@
 	addressRefreshInterval = time.Second
 	// callTimeout bounds a call. A caller cancels earlyCancelShare of its calls
 	// after earlyCancelTimeout already.
-	callTimeout        = 5 * time.Second
-	longCallTimeout    = 14 * time.Second
+	callTimeout     = 5 * time.Second
+	longCallTimeout = 14 * time.Second
+	// longRequestTimeout is the timeout that long requests name.
+	longRequestTimeout = 12 * time.Second
 	earlyCancelShare   = 0.03
 	earlyCancelTimeout = 150 * time.Millisecond
 	// resolveTimeout bounds a discovery request.
@@ -122,7 +123,7 @@
 		}
 		request.ID = newCallID()
 		if ended.lastEvent > 0 {
-			request.Header["Last-Event-Id"], request.Header["Resumes"] = strconv.Itoa(ended.lastEvent), ended.chain
+			request = request.WithTakeUp(ended.chain, ended.lastEvent)
 		}
 	}
 }
@@ -198,10 +199,10 @@
 // choose draws the next call at random. Each call has a unique path, so that no
 // instance takes it for an earlier request that crashed upstreams.
 func (c *caller) choose() (platformtest.Request, callKind) {
-	request := platformtest.Request{ID: newCallID(), APIKey: platformtest.APIKey, Header: map[string]string{}}
+	request := platformtest.Request{ID: newCallID(), APIKey: platformtest.APIKey}
 	if c.isLong {
 		request.Path, request.Model, request.Body = platformtest.LongPath+request.ID, platformtest.Model, "prompt"
-		request.Header["X-Deadline-Ms"] = "12000"
+		request.Timeout = longRequestTimeout
 		if c.random.IntN(2) == 0 {
 			request.Path = platformtest.LongResumablePath + request.ID
 			return request, longAdvice
