--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -70,11 +70,13 @@
 	CalmServed float64     `json:"calm_served"`
 	// Begun and TakenUp count the streams that callers begin and take up again, and the
 	// served ones of them.
-	Begun         int            `json:"begun"`
-	BegunServed   int            `json:"begun_served"`
-	TakenUp       int            `json:"taken_up"`
-	TakenUpServed int            `json:"taken_up_served"`
-	Broken        map[string]int `json:"broken"`
+	Begun         int `json:"begun"`
+	BegunServed   int `json:"begun_served"`
+	TakenUp       int `json:"taken_up"`
+	TakenUpServed int `json:"taken_up_served"`
+	// TakenUpStatuses counts the take-ups by their status. It is 0 without a response.
+	TakenUpStatuses map[int]int    `json:"taken_up_statuses"`
+	Broken          map[string]int `json:"broken"`
 	// Violations lists the first violations of each check.
 	Violations []Violation `json:"violations"`
 }
@@ -95,7 +97,7 @@
 
 func checkHistory(h *history) *Result {
 	j := &checker{
-		history: h, result: &Result{Statuses: make(map[int]int), Broken: make(map[string]int)},
+		history: h, result: &Result{Statuses: make(map[int]int), TakenUpStatuses: make(map[int]int), Broken: make(map[string]int)},
 		runs: make(map[string][]platformtest.Execution), runAt: make(map[string][]string), byID: make(map[string]*call),
 	}
 	for i := range h.calls {
--- a/standin/soaker/checker_calls.go
+++ b/standin/soaker/checker_calls.go
@@ -106,6 +106,7 @@
 	case !c.kind.isResumable() || c.canceled || c.refused:
 	case c.firstEvent > 1:
 		j.result.TakenUp++
+		j.result.TakenUpStatuses[c.status]++
 		j.result.TakenUpServed += isServed
 	default:
 		j.result.Begun++
