Name a time to retry when calls that waited behind others are rejected

Callers of an overloaded service got 503 without Retry-After, and the log said "no upstream was free in time: chosen".

Cause: only the first waiting call of each kind is tried, so those behind it kept the zero result of a selection, "chosen", for which there is no delay. They take the result of the call ahead of them now.

--- a/integration/hosted_test.go
+++ b/integration/hosted_test.go
@@ -161,6 +161,21 @@
 		Expect(answer.Duration).To(BeNumerically("~", 2*time.Second, 400*time.Millisecond))
 	})
 
+	// Guards against rejections without Retry-After of calls that other calls were ahead of
+	// for as long as they waited.
+	It("names a time to retry when it rejects calls that waited behind others", func() {
+		f := startHostedFleet(1)
+		f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Hang })
+		rejected := 0
+		for _, answer := range f.sendConcurrently(30, stockRequest()) {
+			if answer.Status == 503 {
+				rejected++
+				Expect(answer.Header.Get("Retry-After")).NotTo(BeEmpty(), answer.Body)
+			}
+		}
+		Expect(rejected).To(BeNumerically(">", 10))
+	})
+
 	// Guards against a request that crashes one upstream after another. Other
 	// requests must still succeed.
 	It("rejects a request on every instance after it crashes two upstreams", func() {
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -41,8 +41,8 @@
 	// reservation receives the reservation once an upstream is chosen, or nil if no
 	// upstream will accept the call soon.
 	reservation chan *selector.Reservation
-	// result is the result of the last selection for this call. It is Chosen if
-	// none was made, because other calls for the same model were always ahead.
+	// result is the result of the last selection for this call, or for the call ahead of it
+	// that needs the same upstreams.
 	result selector.Result
 }
 
@@ -96,10 +96,12 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.config.Now()
-	blocked := make(map[waitKey]bool)
+	// blocked holds the results for the first waiting calls of each kind.
+	blocked := make(map[waitKey]selector.Result)
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		key := keyOf(w.request)
-		if blocked[key] {
+		if result, isBlocked := blocked[key]; isBlocked {
+			w.result = result
 			return false
 		}
 		reservation, result := q.config.Selector.Choose(w.request, now)
@@ -108,7 +110,7 @@
 			w.reservation <- reservation
 			return true
 		}
-		blocked[key] = true
+		blocked[key] = result
 		q.requestAdapter(w.request, result, now)
 		return false
 	})
@@ -138,7 +140,9 @@
 	now := q.config.Now()
 	w := &waiter{request: request, deadline: deadline, priority: priority, reservation: make(chan *selector.Reservation, 1)}
 	request.IsWaiting = false
-	if !q.hasWaiterFor(request) {
+	if ahead := q.waiterFor(request); ahead != nil {
+		w.result = ahead.result
+	} else {
 		reservation, result := q.config.Selector.Choose(request, now)
 		if reservation != nil || isFinal(request, result) {
 			return nil, reservation, result
@@ -178,10 +182,15 @@
 	return a.deadline.Compare(b.deadline)
 }
 
-func (q *queue) hasWaiterFor(request *selector.Request) bool {
-	return slices.ContainsFunc(q.waiters, func(w *waiter) bool {
-		return keyOf(w.request) == keyOf(request)
-	})
+// waiterFor returns the first waiting call that needs the same upstreams as a request, or nil.
+// The caller must lock mu.
+func (q *queue) waiterFor(request *selector.Request) *waiter {
+	for _, w := range q.waiters {
+		if keyOf(w.request) == keyOf(request) {
+			return w
+		}
+	}
+	return nil
 }
 
 // remove removes a waiter from the queue, or returns the reservation that it
