Do not end the response to a caller that has closed its side as complete

Callers that close their side of the connection and read on saw a part of a stream as a complete one (ORDER), and 200 with an empty body for a request without a response yet (MIXED).

Cause: the end of a caller's side cancels its request. The handler then returned as after a complete response, and net/http added the last chunk, or the status 200. A caller that has left cannot read them, so it went unnoticed.

Change: a call whose caller has left ends with an abort of its connection.

--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -173,6 +173,11 @@
 	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
 	defer r.recordDuration()
 	r.tryUpstreams(ctx)
+	if r.record.CallerLeft {
+		// A caller that has closed its side of the connection only must not take what it
+		// has received for a complete response.
+		r.writer.Abort()
+	}
 }
 
 // admit matches the route, authenticates the caller and applies the rate limit. It
