--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,13 +23,7 @@
 // readiness probes and for callers.
 func hostedSettings(site *platformtest.Platform) (text, readiness, callers string) {
 	GinkgoHelper()
-	listenAddress := func() string {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer listener.Close()
-		return listener.Addr().String()
-	}
-	readiness, callers = listenAddress(), listenAddress()
+	readiness, callers = platformtest.FreeAddress(), platformtest.FreeAddress()
 	return fmt.Sprintf(`
 [instance]
 id = "node-1"
@@ -54,7 +47,7 @@
 cold_overshoot = 1.5
 cold_slack = 5
 lease = "3000ms"
-`, callers, readiness, listenAddress(), listenAddress(), site.Store.Address()), readiness, callers
+`, callers, readiness, platformtest.FreeAddress(), platformtest.FreeAddress(), site.Store.Address()), readiness, callers
 }
 
 var _ = Describe("crocushollowd hosted", func() {
