Tell in the soak whether a response or a caller joined two software versions

A report of streams with events of two versions did not say whether an instance had joined them within a response, or a caller by taking the stream up, and had to be searched for in the logs, which leave out lines. The result now counts these streams in every run; the bound of the check is unchanged.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -75,8 +75,10 @@
 	TakenUp       int `json:"taken_up"`
 	TakenUpServed int `json:"taken_up_served"`
 	// TakenUpStatuses counts the take-ups by their status. It is 0 without a response.
-	TakenUpStatuses map[int]int    `json:"taken_up_statuses"`
-	Broken          map[string]int `json:"broken"`
+	TakenUpStatuses map[int]int `json:"taken_up_statuses"`
+	// Mixed counts the streams with events of two software versions.
+	Mixed  int            `json:"mixed"`
+	Broken map[string]int `json:"broken"`
 	// Violations lists the first violations of each check.
 	Violations []Violation `json:"violations"`
 }
--- a/standin/soaker/checker_calls.go
+++ b/standin/soaker/checker_calls.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -75,25 +76,34 @@
 // checkVersions checks that streams keep the software version that began them, within a
 // response and over the attempts of a caller.
 func (j *checker) checkVersions() {
-	versions := make(map[string]map[string]bool)
+	versions := make(map[string][]string)
 	var mixed []string
 	for i := range j.calls {
 		c := &j.calls[i]
 		j.countStream(c)
+		known := versions[c.chain]
 		for _, version := range c.versions {
-			known := versions[c.chain]
-			if known == nil {
-				known = make(map[string]bool)
-				versions[c.chain] = known
-			}
-			if known[version] = true; len(known) == 2 && !slices.Contains(mixed, c.chain) {
-				mixed = append(mixed, c.chain)
+			if !slices.Contains(known, version) {
+				known = append(known, version)
 			}
 		}
+		if len(known) > 1 && len(versions[c.chain]) <= 1 {
+			mixed = append(mixed, c.describeMix())
+		}
+		versions[c.chain] = known
 	}
+	j.result.Mixed = len(mixed)
 	if len(mixed) > maxMixedStreams {
-		j.fail("one_version", "streams with events of two software versions: %v", mixed)
+		j.fail("one_version", "streams with events of two software versions: %s", strings.Join(mixed, ", "))
+	}
+}
+
+// describeMix tells whether the instance or the caller joined the versions of a stream.
+func (c *call) describeMix() string {
+	if len(c.versions) > 1 {
+		return fmt.Sprintf("%s (in one response of %s)", c.id, c.instance)
 	}
+	return fmt.Sprintf("%s (taken up as %s after event %d at %s)", c.chain, c.id, c.firstEvent-1, c.instance)
 }
 
 // countStream counts a stream that may be resumed, as begun or taken up.
