--- /dev/null
+++ b/protocol/buffer/buffer.go
@@ -0,0 +1,97 @@
+// Package buffer bounds the memory of all responses together that are read into memory.
+package buffer
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+// ErrFull reports a response that exceeds its limit, or the memory that is left.
+var ErrFull = errors.New("the response or one of its events is too large for the memory that is left")
+
+// MinBytes is the memory that every buffer may use beside the budget.
+const MinBytes = 4 << 10
+
+// Budget is the memory that buffers share. It is safe for concurrent use.
+type Budget struct {
+	capacity int64
+	used     atomic.Int64
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(capacity int64) *Budget { return &Budget{capacity: capacity} }
+
+// take reports whether the budget has bytes left, and takes them if it has.
+func (b *Budget) take(bytes int64) bool {
+	if b.used.Add(bytes) <= b.capacity {
+		return true
+	}
+	b.used.Add(-bytes)
+	return false
+}
+
+// Buffer holds the bytes of a response that cannot be forwarded yet. What exceeds MinBytes
+// is taken from the budget.
+type Buffer struct {
+	budget *Budget
+	// limit is the maximum size of the buffer.
+	limit int
+	bytes []byte
+	taken int64
+}
+
+// New returns an empty buffer with a maximum size. The budget gets its memory back with
+// Release.
+func New(budget *Budget, limit int) *Buffer {
+	return &Buffer{budget: budget, limit: limit, bytes: make([]byte, 0, MinBytes)}
+}
+
+// Bytes returns what the buffer holds. It is valid until the next call.
+func (b *Buffer) Bytes() []byte { return b.bytes }
+
+// Read reads from a response once. It returns ErrFull if the buffer is full and cannot grow.
+func (b *Buffer) Read(reader io.Reader) error {
+	if len(b.bytes) == cap(b.bytes) {
+		if err := b.grow(); err != nil {
+			return err
+		}
+	}
+	n, err := reader.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+	b.bytes = b.bytes[:len(b.bytes)+n]
+	return err
+}
+
+// ReadAll reads a response to its end.
+func (b *Buffer) ReadAll(reader io.Reader) error {
+	for {
+		err := b.Read(reader)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (b *Buffer) grow() error {
+	added := cap(b.bytes)
+	if 2*added > b.limit || !b.budget.take(int64(added)) {
+		return ErrFull
+	}
+	b.taken += int64(added)
+	b.bytes = append(make([]byte, 0, 2*added), b.bytes...)
+	return nil
+}
+
+// Consume removes the first bytes.
+func (b *Buffer) Consume(count int) {
+	b.bytes = b.bytes[:copy(b.bytes, b.bytes[count:])]
+}
+
+// Release gives the memory back.
+func (b *Buffer) Release() {
+	b.budget.used.Add(-b.taken)
+	b.taken, b.bytes = 0, nil
+}
--- /dev/null
+++ b/protocol/buffer/buffer_test.go
@@ -0,0 +1,64 @@
+package buffer_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/protocol/buffer"
+)
+
+func TestBuffer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "buffer")
+}
+
+// endless is a response that does not end.
+type endless struct{ delivered int }
+
+func (e *endless) Read(p []byte) (int, error) {
+	e.delivered += len(p)
+	return len(p), nil
+}
+
+var _ = Describe("Buffers that share a budget", func() {
+	const budget = 64 << 10
+
+	It("hold no more than the budget together, whatever is sent to them", func() {
+		shared := buffer.NewBudget(budget)
+		delivered := 0
+		for range 20 {
+			b := buffer.New(shared, 1<<20)
+			source := &endless{}
+			Expect(b.ReadAll(source)).To(MatchError(buffer.ErrFull))
+			delivered += source.delivered
+			DeferCleanup(b.Release)
+		}
+		Expect(delivered).To(BeNumerically("<=", budget+20*buffer.MinBytes))
+		small := buffer.New(shared, 1<<20)
+		Expect(small.ReadAll(strings.NewReader("sound"))).To(Succeed())
+		Expect(string(small.Bytes())).To(Equal("sound"))
+	})
+
+	It("give the memory back", func() {
+		shared := buffer.NewBudget(budget)
+		for range 20 {
+			b := buffer.New(shared, 1<<20)
+			Expect(b.ReadAll(&endless{})).To(MatchError(buffer.ErrFull))
+			b.Release()
+		}
+		text := strings.Repeat("x", budget/2)
+		b := buffer.New(shared, 1<<20)
+		Expect(b.ReadAll(strings.NewReader(text))).To(Succeed())
+		Expect(string(b.Bytes())).To(Equal(text))
+	})
+
+	It("pass on why a response broke off", func() {
+		b := buffer.New(buffer.NewBudget(budget), 1<<20)
+		Expect(b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF))).To(MatchError(io.ErrUnexpectedEOF))
+	})
+})
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -14,6 +14,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
@@ -108,7 +109,7 @@
 	Observer  Observer
 	Now       func() time.Time
 	// MaxBufferedBytes bounds the memory for parts of responses that cannot be
-	// forwarded yet, over all calls together. Each call may use minBufferBytes in
+	// forwarded yet, over all calls together. Each call may use buffer.MinBytes in
 	// addition.
 	MaxBufferedBytes int64
 }
@@ -117,14 +118,14 @@
 type Proxy struct {
 	config   Config
 	queue    *queue
-	buffered memoryBudget
+	buffered *buffer.Budget
 	// endChecks joins the checks of calls that lost the same upstream.
 	endChecks singleflight.Group
 }
 
 // New returns a proxy. Run starts its queue.
 func New(config Config) *Proxy {
-	return &Proxy{config: config, queue: newQueue(config), buffered: memoryBudget{capacity: config.MaxBufferedBytes}}
+	return &Proxy{config: config, queue: newQueue(config), buffered: buffer.NewBudget(config.MaxBufferedBytes)}
 }
 
 // Run assigns upstreams to waiting calls until the context is canceled.
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -34,10 +34,9 @@
 }
 
 var (
-	errNotRun           = errors.New("the upstream did not run the request")
-	errNotVerified      = errors.New("the response does not belong to the request or does not come from an upstream")
-	errResponseTooLarge = errors.New("the response or one of its events is too large for the memory that is left")
-	errNoEvents         = errors.New("the stream has no events with IDs")
+	errNotRun      = errors.New("the upstream did not run the request")
+	errNotVerified = errors.New("the response does not belong to the request or does not come from an upstream")
+	errNoEvents    = errors.New("the stream has no events with IDs")
 )
 
 // observeRateLimit records the limit that a response names for the requests to its
@@ -57,22 +56,23 @@
 	}
 }
 
+// maxResponseBytes is the maximum size of a response that is not streamed. Such a response is
+// buffered in memory until it is complete.
+const maxResponseBytes = 16 << 20
+
 // writeBuffered reads a whole response and sends it to the caller.
 func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
-	buffer := newResponseBuffer(&r.proxy.buffered, maxResponseBytes)
-	defer buffer.release()
-	err := error(nil)
-	for err == nil {
-		err = buffer.read(response.Body)
-	}
+	body := buffer.New(r.proxy.buffered, maxResponseBytes)
+	defer body.Release()
+	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
 	config := &r.proxy.config
-	if !errors.Is(err, io.EOF) {
+	if err != nil {
 		r.record.Cause = err
 		if ctx.Err() != nil {
 			return r.handleCancellation(ctx)
 		}
-		if !errors.Is(err, errResponseTooLarge) {
+		if !errors.Is(err, buffer.ErrFull) {
 			r.recordCrash(&reservation.Upstream)
 		}
 		return selector.Unreachable, r.afterFailure()
@@ -87,9 +87,9 @@
 	if response.Status == http.StatusOK {
 		config.Parts.RecordCompletion(r.parts, config.Now())
 	}
-	response.Header.Set("Content-Length", strconv.Itoa(len(buffer.bytes)))
+	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
-	if err := r.writer.Write(buffer.bytes); err != nil {
+	if err := r.writer.Write(body.Bytes()); err != nil {
 		r.record.CallerLeft = true
 		return selector.Served, callerLeft
 	}
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -21,6 +22,10 @@
 	errEventOrder     = errors.New("the event IDs of the stream do not increase")
 )
 
+// maxEventBytes is the maximum size of an event, and the maximum number of bytes of a stream
+// without an event that has an ID.
+const maxEventBytes = 1 << 20
+
 // streamProgress is how much of a stream was sent to the caller.
 type streamProgress struct {
 	// lastID is the ID of the last event sent.
@@ -65,7 +70,7 @@
 	if ctx.Err() != nil {
 		return r.handleCancellation(ctx)
 	}
-	isGarbage := errors.Is(err, errResponseTooLarge) || errors.Is(err, errNoEvents)
+	isGarbage := errors.Is(err, buffer.ErrFull) || errors.Is(err, errNoEvents)
 	if !isGarbage {
 		r.recordCrash(&reservation.Upstream)
 	}
@@ -78,21 +83,21 @@
 func (e *callerError) Error() string { return "write to caller: " + e.err.Error() }
 
 func (r *run) copyEvents(reservation *selector.Reservation, response *Response) error {
-	buffer := newResponseBuffer(&r.proxy.buffered, maxEventBytes)
-	defer buffer.release()
+	unsent := buffer.New(r.proxy.buffered, maxEventBytes)
+	defer unsent.Release()
 	for {
 		// The end of an event may lie across two reads.
-		searched := max(len(buffer.bytes)-len(eventEnd)+1, 0)
-		err := buffer.read(response.Body)
-		if length := completeEvents(buffer.bytes[searched:]); length > 0 {
+		searched := max(len(unsent.Bytes())-len(eventEnd)+1, 0)
+		err := unsent.Read(response.Body)
+		if length := completeEvents(unsent.Bytes()[searched:]); length > 0 {
 			end := searched + length
-			if err := r.writeEvents(reservation, response, buffer.bytes[:end]); err != nil {
+			if err := r.writeEvents(reservation, response, unsent.Bytes()[:end]); err != nil {
 				return err
 			}
-			buffer.consume(end)
+			unsent.Consume(end)
 		}
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(response, buffer.bytes)
+			return r.finishStream(response, unsent.Bytes())
 		}
 		if err != nil {
 			return err
