Bound the memory of reports and responses to orders

Engines that answered reports without end made an instance keep 8 MB of each at the same time (LOST, processes that end by themselves).

Cause: the client of the engines' control API limited each response, not all together. The planner asks all engines at once, and every stream that could continue at an engine asks it before.

--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -12,6 +12,7 @@
 	"github.com/crocushollow/crocushollow/coordination/observer"
 	"github.com/crocushollow/crocushollow/coordination/planner"
 	"github.com/crocushollow/crocushollow/platform"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/proxy"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
@@ -85,9 +86,10 @@
 		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
 	}
 	i.egress = platform.NewEgress(egressConfig)
-	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig)
+	buffered := buffer.NewBudget(i.memory() / reportMemoryDivisor)
+	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig, buffered)
 	egressConfig.IdleTimeout = orderIdleTimeout
-	i.orders = platform.NewEngineClient(i.self.Instance, egressConfig)
+	i.orders = platform.NewEngineClient(i.self.Instance, egressConfig, buffered)
 }
 
 // assembleDataPlane builds the parts that serve calls.
@@ -129,18 +131,18 @@
 		Observer:       i.reporter,
 		Now:            time.Now,
 
-		MaxBufferedBytes: i.maxBufferedBytes(),
+		MaxBufferedBytes: i.memory() / bufferedMemoryDivisor,
 	})
 	i.site.onChange = i.handleSiteChange
 }
 
-// maxBufferedBytes returns the memory for responses that cannot be forwarded yet.
-func (i *Instance) maxBufferedBytes() int64 {
+// memory returns the memory of the machine in bytes.
+func (i *Instance) memory() int64 {
 	memory := i.settings.Limits.MemoryMB
 	if memory <= 0 {
 		memory = defaultMemoryMB
 	}
-	return memory << 20 / bufferedMemoryDivisor
+	return memory << 20
 }
 
 // registerGauges registers the metrics whose values are read when they are scraped.
--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -50,31 +50,34 @@
 `, callers, readiness, platformtest.FreeAddress(), platformtest.FreeAddress(), site.Store.Address()), readiness, callers
 }
 
-var _ = Describe("crocushollowd hosted", func() {
-	startDaemon := func(text string) (*gexec.Session, string) {
-		GinkgoHelper()
-		file := filepath.Join(GinkgoT().TempDir(), "instance.toml")
-		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
-		command := exec.Command(daemonBinary, "hosted")
-		command.Env = append(os.Environ(), "CROCUSHOLLOW_CONFIG="+file)
-		session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(func() { session.Kill().Wait("5s") })
-		return session, file
-	}
-	isReady := func(address string) func() bool {
-		return func() bool {
-			response, err := http.Get("http://" + address + "/ready")
-			if err != nil {
-				return false
-			}
-			response.Body.Close()
-			return response.StatusCode == http.StatusOK
+// startHostedDaemon starts an instance as a process, and returns its settings file.
+func startHostedDaemon(text string) (*gexec.Session, string) {
+	GinkgoHelper()
+	file := filepath.Join(GinkgoT().TempDir(), "instance.toml")
+	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	command := exec.Command(daemonBinary, "hosted")
+	command.Env = append(os.Environ(), "CROCUSHOLLOW_CONFIG="+file)
+	session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { session.Kill().Wait("5s") })
+	return session, file
+}
+
+// isInstanceReady returns a function that probes the readiness of an instance.
+func isInstanceReady(address string) func() bool {
+	return func() bool {
+		response, err := http.Get("http://" + address + "/ready")
+		if err != nil {
+			return false
 		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
 	}
+}
 
+var _ = Describe("crocushollowd hosted", func() {
 	It("reports invalid settings and exits with status 2", func() {
-		session, _ := startDaemon("[instance]\n")
+		session, _ := startHostedDaemon("[instance]\n")
 		Eventually(session, "5s").Should(gexec.Exit(2))
 		Expect(session.Err).To(gbytes.Say("instance.id"))
 	})
@@ -85,15 +88,15 @@
 		site := platformtest.NewPlatform()
 		DeferCleanup(site.Close)
 		text, readiness, _ := hostedSettings(site)
-		session, file := startDaemon(text)
-		Eventually(isReady(readiness), "5s").Should(BeTrue())
+		session, file := startHostedDaemon(text)
+		Eventually(isInstanceReady(readiness), "5s").Should(BeTrue())
 		Expect(os.WriteFile(file, []byte(strings.Replace(text, `grace = "8s"`, `grace = "5s"`, 1)), 0o600)).To(Succeed())
 		session.Signal(syscall.SIGHUP)
 		Eventually(session.Out, "3s").Should(gbytes.Say(`"needs_start":false.*settings reloaded`))
 		Expect(os.WriteFile(file, []byte("[instance]\n"), 0o600)).To(Succeed())
 		session.Signal(syscall.SIGHUP)
 		Eventually(session.Out, "3s").Should(gbytes.Say("settings refused"))
-		Consistently(isReady(readiness), "500ms").Should(BeTrue())
+		Consistently(isInstanceReady(readiness), "500ms").Should(BeTrue())
 		session.Signal(syscall.SIGTERM)
 		Eventually(session, "8s").Should(gexec.Exit(0))
 	})
@@ -104,8 +107,8 @@
 		site := platformtest.NewPlatform()
 		DeferCleanup(site.Close)
 		text, readiness, callers := hostedSettings(site)
-		session, _ := startDaemon(text)
-		Eventually(isReady(readiness), "5s").Should(BeTrue())
+		session, _ := startHostedDaemon(text)
+		Eventually(isInstanceReady(readiness), "5s").Should(BeTrue())
 		responses := make(chan platformtest.Response)
 		go func() {
 			defer GinkgoRecover()
