Count the sends of a call by the address of the upstream

A call that an engine refused and that was sent again could be told "not run", or run at a second engine, although the engine ran it.

Egress keeps a connection pool for each repeat, so that a late copy of a refusal never arrives where the response to the same call is expected. The repeat was counted by the ID of the engine, but connections are pooled by address. An engine that has started again at its address refuses a call under its old ID (421) and gets it a second time under its new one, as a first send and over the same connection; a copy of the 421 is believed there.

The sends are counted by address now. protocol/proxy, "are counted by address when a call is sent again", failed before (repeat 0, not 1).

--- /dev/null
+++ b/protocol/proxy/refusal_test.go
@@ -0,0 +1,44 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/protocol/proxy"
+)
+
+// fixedSender returns the same response to all attempts, and records them.
+type fixedSender struct {
+	response proxy.Response
+	attempts []proxy.Attempt
+}
+
+func (s *fixedSender) Send(_ context.Context, attempt proxy.Attempt) (*proxy.Response, error) {
+	s.attempts = append(s.attempts, attempt)
+	response := s.response
+	response.Header, response.Body = http.Header{}, io.NopCloser(strings.NewReader(""))
+	return &response, nil
+}
+
+var _ = Describe("Refusals of upstreams", func() {
+	// Guards against a late copy of a refusal that is believed because the engine that sent
+	// it has registered again under another ID: connections are shared by address.
+	It("are counted by address when a call is sent again", func() {
+		sender := &fixedSender{response: proxy.Response{Status: http.StatusOK, Verified: true}}
+		p := startProxy(sender)
+		for range 20 {
+			// Retries are a share of the calls.
+			serve(p, "/plain/a", "")
+		}
+		sender.attempts, sender.response = nil, proxy.Response{Status: http.StatusMisdirectedRequest, NotRun: true}
+		Expect(serve(p, "/plain/a", "").status).To(Equal(http.StatusServiceUnavailable))
+		Expect(sender.attempts).To(HaveLen(2))
+		Expect(sender.attempts[0].Upstream.ID).NotTo(Equal(sender.attempts[1].Upstream.ID))
+		Expect(sender.attempts[1].Repeat).To(Equal(1), "the address is the same")
+	})
+})
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -40,7 +40,7 @@
 	// stream is how much of a streamed response the caller received.
 	stream  streamProgress
 	request selector.Request
-	// sentTo lists the IDs of the upstreams that the call was sent to, in order.
+	// sentTo lists the addresses of the upstreams that the call was sent to, in order.
 	sentTo []string
 	// adapterRetries counts the retries on engines that have not loaded the
 	// adapter yet.
@@ -182,7 +182,7 @@
 		Workspace:   r.record.Workspace,
 		TimeLeft:    r.deadline.Sub(sentAt),
 		LastEventID: r.lastEventID(),
-		Repeat:      r.countSend(reservation.Upstream.ID),
+		Repeat:      r.countSend(reservation.Upstream.Address),
 		Retryable:   r.route.IsRetryable(),
 	})
 	var outcome selector.Outcome
@@ -217,15 +217,16 @@
 // confirmTimeout bounds the check of an upstream before it continues a stream.
 const confirmTimeout = 250 * time.Millisecond
 
-// countSend records a send to an upstream and returns the number of sends to it before.
-func (r *run) countSend(upstream string) int {
+// countSend records a send to an address and returns the number of sends to it before.
+// Upstreams that start again may share an address, and thus connections.
+func (r *run) countSend(address string) int {
 	repeats := 0
 	for _, earlier := range r.sentTo {
-		if earlier == upstream {
+		if earlier == address {
 			repeats++
 		}
 	}
-	r.sentTo = append(r.sentTo, upstream)
+	r.sentTo = append(r.sentTo, address)
 	return repeats
 }
 
--- a/protocol/proxy/sender.go
+++ b/protocol/proxy/sender.go
@@ -22,7 +22,7 @@
 	// LastEventID is the ID of the event after which the upstream must resume a
 	// stream. It is empty to start at the first event.
 	LastEventID string
-	// Repeat is the number of times that the call was sent to this upstream before.
+	// Repeat is the number of times that the call was sent to the upstream's address before.
 	Repeat int
 	// Retryable allows the sender to repeat the request by itself if a reused
 	// connection turns out to be closed.
