Do not pass on refusals that do not state that a call was not run

A 408, 421, 429 or 503 of an engine without X-Not-Executed reached the caller as it was.

Such a response counts as a failure now: calls that may be repeated go to another engine, others get 502.

--- a/protocol/proxy/refusal_test.go
+++ b/protocol/proxy/refusal_test.go
@@ -41,4 +41,20 @@
 		Expect(sender.attempts[0].Upstream.ID).NotTo(Equal(sender.attempts[1].Upstream.ID))
 		Expect(sender.attempts[1].Repeat).To(Equal(1), "the address is the same")
 	})
+
+	// Guards against a status that tells the caller that the call was not run, though the
+	// upstream did not state it.
+	DescribeTable("are not passed on unless they state that the call was not run",
+		func(status int) {
+			sender := &fixedSender{response: proxy.Response{Status: status, Verified: true}}
+			writer := serve(startProxy(sender), "/plain/a", "")
+			Expect(writer.status).To(Equal(http.StatusBadGateway))
+			Expect(writer.err).NotTo(BeNil(), "the error is the instance's own")
+			Expect(sender.attempts).To(HaveLen(1), "the call may have run")
+		},
+		Entry("timeout", http.StatusRequestTimeout),
+		Entry("misdirected", http.StatusMisdirectedRequest),
+		Entry("rate limit", http.StatusTooManyRequests),
+		Entry("overload", http.StatusServiceUnavailable),
+	)
 })
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -27,16 +27,31 @@
 		r.record.Cause = errNotVerified
 		return selector.Failed, r.afterFailure()
 	}
+	if promisesNotRun(response.Status) {
+		r.record.Cause = errUnstatedRefusal
+		return selector.Failed, r.afterFailure()
+	}
 	if response.Status == http.StatusOK && r.route.Kind == catalog.Streaming {
 		return r.streamEvents(ctx, reservation, response)
 	}
 	return r.writeBuffered(ctx, reservation, response)
 }
 
+// promisesNotRun reports whether a status tells a caller that its call was not run and
+// never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 var (
-	errNotRun      = errors.New("the upstream did not run the request")
-	errNotVerified = errors.New("the response does not belong to the request or does not come from an upstream")
-	errNoEvents    = errors.New("the stream has no events with IDs")
+	errNotRun          = errors.New("the upstream did not run the request")
+	errUnstatedRefusal = errors.New("the upstream refused the request but did not state that it has not run it")
+	errNotVerified     = errors.New("the response does not belong to the request or does not come from an upstream")
+	errNoEvents        = errors.New("the stream has no events with IDs")
 )
 
 // observeRateLimit records the limit that a response names for the requests to its
