Do not lose the events that arrive with one that is out of order

What callers saw: a stream that an upstream continues can lack events and look complete (ORDER). An upstream sent the events 1, 2, 3, 3, 4, 5 at once; the caller got 4 and 5.

Cause: each complete event of a read was recorded as sent while the read was checked. An event that was out of order then discarded the whole read, and the next upstream was asked to continue after the last recorded event, which the caller did not have.

Change: the events before the faulty one are sent, and the stream continues after them.

No upstream of the operators is known to have repeated an event.

--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -168,20 +168,22 @@
 			WeightedServices: []catalog.WeightedService{{Service: "s", Weight: 1}},
 		}
 	}
+	resumable := route("/stream/resumable/", catalog.Streaming, shortTimeout)
+	resumable.Resumable = true
 	table, err := catalog.New(catalog.Config{
 		Version: 1, Services: []catalog.Service{{Name: "s"}},
 		Routes: []catalog.Route{
 			route("/plain/", catalog.NonIdempotent, routeTimeout), route("/stream/", catalog.Streaming, routeTimeout),
-			route("/stream/short/", catalog.Streaming, shortTimeout),
+			route("/stream/short/", catalog.Streaming, shortTimeout), resumable,
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
 	upstreams := make(map[string]*catalog.Upstream)
 	for i := range upstreamCount {
 		id := fmt.Sprint("i-", i)
-		upstreams[id] = &catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4, StartUnixMilli: 1}
+		upstreams[id] = &catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4, StartUnixMilli: 1, SoftwareVersion: "v1"}
 	}
-	choices := selector.New(selector.Config{ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
+	choices := selector.New(selector.Config{IsPinnable: func(string, catalog.SoftwareVersion) bool { return true }, ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 	choices.SetTopology(selector.Topology{Catalog: table, Upstreams: upstreams})
 	p := proxy.New(proxy.Config{
 		Catalog: func() *catalog.Catalog { return table }, Selector: choices,
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -146,18 +146,14 @@
 	if r.stream.events == 0 {
 		r.recordOrigin(&reservation.Upstream)
 	}
-	accepted, err := r.stream.advance(events)
-	if err != nil {
-		return err
-	}
-	if len(accepted) == 0 {
-		return nil
-	}
-	if err := r.writer.Write(accepted); err != nil {
-		return &callerError{err}
+	accepted, advanceErr := r.stream.advance(events)
+	if len(accepted) > 0 {
+		if err := r.writer.Write(accepted); err != nil {
+			return &callerError{err}
+		}
+		r.recordGap()
 	}
-	r.recordGap()
-	return nil
+	return advanceErr
 }
 
 // recordGap updates the longest time between two writes.
@@ -169,26 +165,28 @@
 	r.stream.lastWriteAt = now
 }
 
-// advance records complete events as sent and returns them. It returns an error if
-// an event does not come after the one before it.
+// advance records complete events as sent and returns them. It returns those before an event
+// that does not come after the one before it, or that exceeds the bytes without an ID, and an
+// error.
 func (p *streamProgress) advance(events []byte) ([]byte, error) {
-	for rest := events; len(rest) > 0; {
-		end := bytes.Index(rest, eventEnd)
+	length := 0
+	for length < len(events) {
+		end := bytes.Index(events[length:], eventEnd)
 		if end < 0 {
 			break
 		}
-		if id := eventID(rest[:end]); id != "" {
+		if id := eventID(events[length : length+end]); id != "" {
 			if !p.isAfterLastEvent(id) {
-				return nil, errEventOrder
+				return events[:length], errEventOrder
 			}
 			p.lastID, p.bytesWithoutID = id, 0
 		} else if p.bytesWithoutID += end; p.bytesWithoutID > maxEventBytes {
-			return nil, errNoEvents
+			return events[:length], errNoEvents
 		}
 		p.events++
-		rest = rest[end+len(eventEnd):]
+		length += end + len(eventEnd)
 	}
-	return events, nil
+	return events[:length], nil
 }
 
 // isAfterLastEvent reports whether an event ID is greater than the last one. IDs
