Tell responses that a shutdown has cut from those whose callers left

The end of the grace period and a caller that closes its connection both cancel a request.

The log names the end of each response, and crocushollow_calls_total carries it as the reason of calls that were broken off.

--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -111,7 +111,7 @@
 	if record.Cause != nil {
 		line.AnErr("cause", record.Cause)
 	}
-	line.Bool("caller_left", record.CallerLeft).Msg("call ended")
+	line.Str("response", record.End()).Bool("caller_left", record.CallerLeft).Msg("call ended")
 }
 
 // callOutcome returns the outcome of a call: served, refused by the proxy, or broken
@@ -120,7 +120,7 @@
 	switch {
 	case record.Error != nil:
 		return "refused"
-	case record.Aborted || record.CallerLeft || record.Status >= http.StatusInternalServerError:
+	case record.End() != "complete" || record.Status >= http.StatusInternalServerError:
 		return "broken"
 	}
 	return "served"
@@ -129,8 +129,11 @@
 // count adds a call to the metrics.
 func (r *reporter) count(kind string, record *proxy.CallRecord) {
 	reason, routeKind := "", catalog.RouteKind("none")
-	if record.Error != nil {
+	switch {
+	case record.Error != nil:
 		reason = string(record.Error.Code)
+	case record.End() != "complete":
+		reason = record.End()
 	}
 	if record.Route != nil {
 		routeKind = record.Route.Kind
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -159,8 +159,8 @@
 	shortTimeout = 3 * time.Second
 )
 
-// startProxy starts a proxy before upstreams of one service.
-func startProxy(sender proxy.Sender) *proxy.Proxy {
+// startProxy starts a proxy before upstreams of one service, with changes to its settings.
+func startProxy(sender proxy.Sender, changes ...func(*proxy.Config)) *proxy.Proxy {
 	GinkgoHelper()
 	route := func(prefix string, kind catalog.RouteKind, timeout time.Duration) catalog.Route {
 		return catalog.Route{
@@ -185,7 +185,7 @@
 	}
 	choices := selector.New(selector.Config{IsPinnable: func(string, catalog.SoftwareVersion) bool { return true }, ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 	choices.SetTopology(selector.Topology{Catalog: table, Upstreams: upstreams})
-	p := proxy.New(proxy.Config{
+	config := proxy.Config{
 		Catalog: func() *catalog.Catalog { return table }, Selector: choices,
 		Allotter: allotter.New(allotter.Config{Window: 8 * time.Second, InstanceCount: func() int { return 1 }, StartTime: time.Now()}),
 		Budgeter: budgeter.New(budgeter.Config{
@@ -199,7 +199,11 @@
 		Throttler:          throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
 		RequestAdapter:     func(string, string, string) {}, AddDemand: func(string, float64) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
-	})
+	}
+	for _, change := range changes {
+		change(&config)
+	}
+	p := proxy.New(config)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = p.Run(ctx) }()
 	DeferCleanup(func() {
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -79,6 +79,22 @@
 	Aborted bool
 	// CallerLeft reports that the caller disconnected.
 	CallerLeft bool
+	// CutByShutdown reports that the instance closed the caller's connection at the end of
+	// its shutdown.
+	CutByShutdown bool
+}
+
+// End names how the response ended.
+func (r *CallRecord) End() string {
+	switch {
+	case r.CutByShutdown:
+		return "cut_by_shutdown"
+	case r.CallerLeft:
+		return "caller_left"
+	case r.Aborted:
+		return "aborted"
+	}
+	return "complete"
 }
 
 // Config configures a Proxy. All fields are required.
@@ -174,7 +190,8 @@
 	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
 	defer r.recordDuration()
 	r.tryUpstreams(ctx)
-	if r.record.CallerLeft {
+	r.recordShutdown()
+	if r.record.CallerLeft || r.record.CutByShutdown {
 		// A caller that has closed its side of the connection only must not take what it
 		// has received for a complete response.
 		r.writer.Abort()
