Do not reset connections that wait when the listener closes

Cause: closing a listening socket resets the connections that the kernel has established and the server has not accepted, and those whose handshake is under way. Both surroundings did so.

Change: acceptor.Drain attaches a filter to the listening socket that drops SYNs, waits 50 ms for handshakes that are under way and until the accept queue is empty, and only then is the listener closed. Callers that connect in these 50 ms send their SYN again 1 s later and are refused. The filter needs no privilege. Multipath TCP, which Go offers by default, takes no filter (EOPNOTSUPP), so these listeners do not offer it. Where the filter is refused, the listener is closed as before, and the log says so.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/crocushollow/crocushollow/state/limiter"
 	"github.com/crocushollow/crocushollow/state/placer"
 	"github.com/crocushollow/crocushollow/state/scheduler"
+	"github.com/crocushollow/crocushollow/transport/acceptor"
 	"github.com/crocushollow/crocushollow/transport/connector"
 	"github.com/crocushollow/crocushollow/transport/console"
 	"github.com/crocushollow/crocushollow/transport/forwarder"
@@ -271,7 +272,7 @@
 	var config net.ListenConfig
 	var listeners Listeners
 	var errs [3]error
-	listeners.Callers, errs[0] = config.Listen(ctx, "tcp", settings.Callers)
+	listeners.Callers, errs[0] = acceptor.Listen(ctx, settings.Callers, net.KeepAliveConfig{})
 	listeners.Peers, errs[1] = config.Listen(ctx, "tcp", settings.Peers)
 	listeners.Operators, errs[2] = config.Listen(ctx, "tcp", settings.Operators)
 	if err := errors.Join(errs[:]...); err != nil {
@@ -321,7 +322,7 @@
 	group.Go(func() error {
 		select {
 		case <-stop.Done():
-			d.shutDown(ctx, callers)
+			d.shutDown(ctx, callers, listeners.Callers)
 		case <-ctx.Done():
 		}
 		cancel()
@@ -359,7 +360,7 @@
 // shutDown shuts the instance down gracefully. It removes the instance from service
 // discovery and waits until callers no longer use cached responses that contain it.
 // Then it waits for the requests in flight and returns the quotas.
-func (d *Daemon) shutDown(ctx context.Context, callers *http.Server) {
+func (d *Daemon) shutDown(ctx context.Context, callers *http.Server, listener net.Listener) {
 	d.logger.Info().Msg("shutdown begins")
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Shutdown.Grace))
 	defer cancel()
@@ -369,6 +370,9 @@
 	}
 	cancelDrain()
 	sleep(ctx, time.Duration(d.settings.Discovery.TTL)+time.Duration(d.settings.Timing.Lease))
+	if err := acceptor.Drain(ctx, listener); err != nil {
+		d.logger.Warn().Err(err).Msg("connections that wait to be accepted may be reset")
+	}
 	if err := callers.Shutdown(ctx); err != nil {
 		d.logger.Warn().Err(err).Int64("in_flight", d.gateway.InFlight()).Msg("grace period expired with requests in flight")
 	}
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/crocushollow/crocushollow/protocol/proxy"
+	"github.com/crocushollow/crocushollow/transport/acceptor"
 )
 
 // shutDown shuts the instance down gracefully: it removes the instance from service
@@ -30,6 +31,9 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	if err := acceptor.Drain(ctx, listener); err != nil {
+		i.logger.Warn().Err(err).Msg("connections that wait to be accepted may be reset")
+	}
 	_ = listener.Close()
 	// The first requests on connections that were accepted until now are still served.
 	time.Sleep(requestReadDelay)
@@ -114,17 +118,12 @@
 // tcpKeepAlive detects dead connections of callers.
 var tcpKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: tcpKeepAlive}
-	return config.Listen(ctx, "tcp", address)
-}
-
 // listenAll opens a listener for each server. If one fails, it closes the others and
 // returns the error.
 func listenAll(ctx context.Context, servers map[string]*http.Server) (map[*http.Server]net.Listener, error) {
 	listeners := make(map[*http.Server]net.Listener, len(servers))
 	for address, server := range servers {
-		listener, err := listen(ctx, address)
+		listener, err := acceptor.Listen(ctx, address, tcpKeepAlive)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -12,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/crocushollow/crocushollow/platform/platformtest"
+	"github.com/crocushollow/crocushollow/standin/stager"
 )
 
 // shutdownCall is a call to an instance that is being stopped.
@@ -139,3 +142,61 @@
 		Expect(late).To(BeNumerically(">", 2))
 	})
 })
+
+var _ = Describe("An instance that stops to accept connections", func() {
+	// Guards against a closing listener that resets connections which wait to be accepted.
+	It("resets no connection that was established", func() {
+		f := startHostedFleet(2)
+		f.Instances[0].Stop()
+		time.Sleep(3 * time.Second)
+		Expect(connectUntilRefused(f.Instances[0].Settings.Listen.Callers)).To(BeEmpty())
+	})
+
+	// Guards against the same in the project's own surroundings.
+	It("resets no connection that was established, in a site with a log", func() {
+		site := startSite(2, func(*stager.Config) {})
+		stopped := site.Instances()[0]
+		go stopped.Stop()
+		Expect(connectUntilRefused(stopped.Callers)).To(BeEmpty())
+	})
+})
+
+// connectUntilRefused sends requests on new connections until they are refused. It returns
+// the errors of the connections that were established.
+func connectUntilRefused(address string) []error {
+	var mu sync.Mutex
+	var lost []error
+	var callers sync.WaitGroup
+	for range 48 {
+		callers.Go(func() {
+			for {
+				isConnected, err := exchange(address)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+				if err != nil && (isConnected || errors.Is(err, syscall.ECONNRESET)) {
+					mu.Lock()
+					lost = append(lost, err)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return lost
+}
+
+// exchange sends a request on a new connection. It returns whether the connection was
+// established, and the error.
+func exchange(address string) (isConnected bool, err error) {
+	conn, err := net.DialTimeout("tcp", address, 3*time.Second)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: none\r\nConnection: close\r\n\r\n"); err != nil {
+		return true, err
+	}
+	_, err = io.ReadAll(conn)
+	return true, err
+}
--- /dev/null
+++ b/transport/acceptor/acceptor.go
@@ -0,0 +1,63 @@
+// Package acceptor listens for connections, and ends that without resetting those that wait
+// to be accepted.
+package acceptor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// handshakeTime is the time in which a handshake that is under way completes. It is
+	// short, since callers that connect meanwhile wait for their next SYN.
+	handshakeTime = 50 * time.Millisecond
+	// pollInterval is the time between two checks of the accept queue.
+	pollInterval = 2 * time.Millisecond
+)
+
+// Listen opens a listener that can be drained. It does not offer multipath TCP, whose sockets
+// take no filter.
+func Listen(ctx context.Context, address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	config.SetMultipathTCP(false)
+	return config.Listen(ctx, "tcp", address)
+}
+
+// Drain makes the kernel ignore new connections, and returns once those under way are
+// accepted, so that closing the listener resets none. The server must go on accepting
+// connections until then. An error means that the listener is unchanged, or that the context
+// has ended.
+func Drain(ctx context.Context, listener net.Listener) error {
+	socket, isSocket := listener.(syscall.Conn)
+	if !isSocket {
+		return errors.ErrUnsupported
+	}
+	conn, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := ignoreHandshakes(conn); err != nil {
+		return fmt.Errorf("ignore handshakes: %w", err)
+	}
+	drainedAt := time.Now().Add(handshakeTime)
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		waiting, err := acceptQueueLength(conn)
+		if err != nil {
+			return fmt.Errorf("read accept queue: %w", err)
+		}
+		if waiting == 0 && time.Now().After(drainedAt) {
+			return nil
+		}
+	}
+}
