Limit the header of responses of upstreams on the own surroundings

Cause: the transport had net/http's default of 10 MB for the header of each response, whatever the number of responses.

Change: 64 KiB for the header and the interim responses, as on the operators' platform.

--- /dev/null
+++ b/integration/endless_test.go
@@ -0,0 +1,93 @@
+package integration_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/crocushollow/crocushollow/standin/caller"
+)
+
+// startEndlessServer starts an upstream that answers each request with a head and a text
+// without end, and returns its address.
+func startEndlessServer(head, text string) string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	block := strings.Repeat(text, 1+(64<<10)/len(text))
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				for part := head; ; part = block {
+					if _, err := io.WriteString(conn, part); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// peakMemory returns the largest resident memory of a process in MB so far.
+func peakMemory(session *gexec.Session) int {
+	GinkgoHelper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", session.Command.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	Expect(err).NotTo(HaveOccurred())
+	return kilobytes >> 10
+}
+
+var _ = Describe("an instance whose upstreams answer without end", func() {
+	// maxMemory is the memory of a small machine in MB.
+	const maxMemory = 284
+
+	// Guards against a machine that runs out of memory because of upstreams whose responses
+	// do not end.
+	DescribeTable("keeps its memory and stays ready", func(head, text string) {
+		f := startFleet(1)
+		endless := startEndlessServer(head, text)
+		for _, proxy := range f.upstreamProxies {
+			proxy.SetTarget(endless)
+			proxy.CloseOpenConnections()
+		}
+		p := f.running()[0]
+		var callers sync.WaitGroup
+		for n := range 48 {
+			callers.Go(func() {
+				c := caller.New(f.apiKeys["hives"])
+				defer c.Client.CloseIdleConnections()
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				// The prompts must fail, one way or another.
+				_, _ = c.Complete(ctx, p.callerAddress, caller.Prompt{Model: "letters", Content: fmt.Sprint("prompt ", n), Tokens: 5})
+			})
+		}
+		callers.Wait()
+		peak := peakMemory(p.session)
+		AddReportEntry("result", fmt.Sprintf("peak %d MB", peak))
+		Expect(peak).To(BeNumerically("<", maxMemory))
+		Expect(isReady(p)).To(BeTrue())
+	},
+		Entry("in a header", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"),
+	)
+})
--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,17 +38,6 @@
 	return &endlessSite{site, session, callers, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 }
 
-// peakMemory returns the largest resident memory of the process in MB so far.
-func (s *endlessSite) peakMemory() int {
-	GinkgoHelper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.session.Command.Process.Pid))
-	Expect(err).NotTo(HaveOccurred())
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	Expect(err).NotTo(HaveOccurred())
-	return kilobytes >> 10
-}
-
 // sendSound sends a request that a faulty engine cannot get, and reports whether it was served.
 func (s *endlessSite) sendSound(ctx context.Context) bool {
 	request := stockRequest()
@@ -70,7 +57,7 @@
 			failed++
 		}
 	}
-	peak := s.peakMemory()
+	peak := peakMemory(s.session)
 	AddReportEntry("result", fmt.Sprintf("peak %d MB, %d of %d sound requests failed", peak, failed, count))
 	Expect(s.session).NotTo(gexec.Exit())
 	Expect(failed).To(BeZero())
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -76,6 +76,10 @@
 	}
 }
 
+// maxResponseHeaderBytes bounds the header of a response together with the interim responses
+// before it. A header of an upstream has less than 1 KB.
+const maxResponseHeaderBytes = 64 << 10
+
 // newTransport returns a transport that keeps up to maxIdleConns idle
 // connections per host, or none if maxIdleConns is negative. TCP keep-alive
 // detects connections whose state a NAT or firewall has dropped.
@@ -89,6 +93,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      32 << 10,
 		WriteBufferSize:     16 << 10,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
