Bound the memory of all responses on the own surroundings together

Cause: each response that is not streamed could have 16 MB, and nothing bounded all of them.

Change: they share calls.max_buffered_bytes (32 MB) beside 4 KB each, in the buffers that responses on the operators' platform use. A response that exceeds its limit or the rest of the memory is answered with 502 at once, as one that was too large before.

Failed before: integration, "keeps its memory and stays ready in a body" (421 MB, bound 284 MB).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,6 +170,7 @@
 		CallerTimeout:    time.Duration(s.Calls.CallerTimeout),
 		MaxAttempts:      s.Calls.MaxAttempts,
 		MaxResponseBytes: s.Calls.MaxResponseBytes,
+		MaxBufferedBytes: s.Calls.MaxBufferedBytes,
 		MaxStoredBytes:   s.Calls.MaxStoredBytes,
 	})
 	d.gateway = gateway.New(gateway.Config{
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -128,6 +128,9 @@
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
 	// MaxResponseBytes is the maximum size of a response that is not streamed.
 	MaxResponseBytes int64 `toml:"max_answer_bytes"`
+	// MaxBufferedBytes is the maximum size of all responses together that are not
+	// streamed and that callers have not received yet.
+	MaxBufferedBytes int64 `toml:"max_buffered_bytes"`
 	// MaxStoredBytes is the maximum size of a response that is stored for replay to
 	// callers that retry.
 	MaxStoredBytes int `toml:"max_kept_bytes"`
@@ -198,6 +201,7 @@
 		Calls: CallSettings{
 			MaxBodyBytes:     4 << 20,
 			MaxResponseBytes: 16 << 20,
+			MaxBufferedBytes: 32 << 20,
 			MaxStoredBytes:   16 << 10,
 			BodyTimeout:      Duration(10 * time.Second),
 			FirstByteTimeout: Duration(20 * time.Second),
@@ -327,6 +331,7 @@
 		checkPositive("timing.watched", int64(s.Timing.MonitoredMembers)),
 		checkPositive("calls.max_body_bytes", s.Calls.MaxBodyBytes),
 		checkPositive("calls.max_answer_bytes", s.Calls.MaxResponseBytes),
+		checkPositive("calls.max_buffered_bytes", s.Calls.MaxBufferedBytes),
 		checkPositive("calls.queue_length", int64(s.Calls.QueueLength)),
 		checkPositive("calls.max_attempts", int64(s.Calls.MaxAttempts)),
 		checkPositive("shutdown.grace", int64(s.Shutdown.Grace)),
--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -88,6 +88,7 @@
 		Expect(peak).To(BeNumerically("<", maxMemory))
 		Expect(isReady(p)).To(BeTrue())
 	},
+		Entry("in a body", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "x"),
 		Entry("in a header", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"),
 	)
 })
--- a/protocol/buffer/buffer.go
+++ b/protocol/buffer/buffer.go
@@ -76,12 +76,12 @@
 }
 
 func (b *Buffer) grow() error {
-	added := cap(b.bytes)
-	if 2*added > b.limit || !b.budget.take(int64(added)) {
+	added := min(cap(b.bytes), b.limit-cap(b.bytes))
+	if added <= 0 || !b.budget.take(int64(added)) {
 		return ErrFull
 	}
 	b.taken += int64(added)
-	b.bytes = append(make([]byte, 0, 2*added), b.bytes...)
+	b.bytes = append(make([]byte, 0, cap(b.bytes)+added), b.bytes...)
 	return nil
 }
 
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/coordination/controller"
 	"github.com/crocushollow/crocushollow/protocol/admitter"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/scheduler"
@@ -117,6 +118,9 @@
 	MaxAttempts int
 	// MaxResponseBytes is the maximum size of a response that is not streamed.
 	MaxResponseBytes int64
+	// MaxBufferedBytes bounds the memory for all responses together that are not
+	// streamed. Each may use buffer.MinBytes in addition.
+	MaxBufferedBytes int64
 	// MaxStoredBytes is the maximum size of a response that is stored for
 	// replay to callers that retry.
 	MaxStoredBytes int
@@ -127,11 +131,21 @@
 	config       Config
 	retryBudgets *retryBudgets
 	parts        *partTracker
+	buffered     *buffer.Budget
 }
 
 // New returns an executor.
 func New(config Config) *Executor {
-	return &Executor{config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker(config.Logger)}
+	return &Executor{
+		config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker(config.Logger),
+		buffered: buffer.NewBudget(config.MaxBufferedBytes),
+	}
+}
+
+// newBuffer returns a buffer for a response that is not streamed.
+func (e *Executor) newBuffer() *buffer.Buffer {
+	// A full buffer has no room to notice the end of a response.
+	return buffer.New(e.buffered, int(e.config.MaxResponseBytes)+1)
 }
 
 // readyTimeout is the maximum time that a request waits for the instance to become
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/admitter"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/decoder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
@@ -339,11 +339,13 @@
 }
 
 func (r *modelRun) relayBuffered(ctx context.Context, lease *dispatcher.Lease, response *Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, r.executor.config.MaxResponseBytes+1))
-	if err != nil {
+	content := r.executor.newBuffer()
+	defer content.Release()
+	err := content.ReadAll(response.Body)
+	if err != nil && !errors.Is(err, buffer.ErrFull) {
 		return r.handleUpstreamError(ctx, lease, err)
 	}
-	if int64(len(body)) > r.executor.config.MaxResponseBytes {
+	if err != nil {
 		r.lastError = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the upstream's response is too large")
 		return r.fail(ctx)
 	}
@@ -353,6 +355,7 @@
 			MayHaveRun: true,
 		})
 	}
+	body := content.Bytes()
 	if usage, found := relayer.ParseUsage(body); found {
 		r.usage = &usage
 	}
--- a/protocol/executor/service.go
+++ b/protocol/executor/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 )
@@ -55,7 +55,8 @@
 		Queue:     "route/" + call.Route.ID,
 		Upstreams: call.Route.Upstreams,
 		Tokens:    1,
-	}}
+	}, content: e.newBuffer()}
+	defer func() { run.content.Release() }()
 	e.retryBudgets.deposit(identity.Workspace.ID)
 	var result *serviceResponse
 	var err error
@@ -82,6 +83,8 @@
 	// mayHaveRun reports that an upstream may have run the request.
 	mayHaveRun bool
 	lastError  error
+	// content holds the response until the caller has received it.
+	content *buffer.Buffer
 }
 
 func (r *serviceRun) tryUpstreams(ctx context.Context) (*serviceResponse, error) {
@@ -155,16 +158,19 @@
 	}
 	defer response.Body.Close()
 	r.mayHaveRun = true
-	body, err := io.ReadAll(io.LimitReader(response.Body, r.executor.config.MaxResponseBytes+1))
-	if err != nil {
+	// An attempt before may have left a part of a response.
+	r.content.Release()
+	r.content = r.executor.newBuffer()
+	err = r.content.ReadAll(response.Body)
+	if err != nil && !errors.Is(err, buffer.ErrFull) {
 		return nil, r.handleUpstreamError(ctx, lease, err)
 	}
-	if int64(len(body)) > r.executor.config.MaxResponseBytes {
+	if err != nil {
 		r.lastError = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the service's response is too large")
 		return nil, r.finalError(ctx)
 	}
 	r.executor.config.Health.RecordResponse(lease.Upstream.ID, response.Incarnation)
-	return &serviceResponse{status: response.Status, header: response.Header, body: body}, nil
+	return &serviceResponse{status: response.Status, header: response.Header, body: r.content.Bytes()}, nil
 }
 
 func (r *serviceRun) handleUpstreamError(ctx context.Context, lease *dispatcher.Lease, err error) error {
