Limit what the clients of the platform and of engines read on the own surroundings

A report of an engine could have 64 MB and the header of any response 10 MB. A report has 256 KB now and a header 64 KiB.

--- a/transport/connector/engine.go
+++ b/transport/connector/engine.go
@@ -25,7 +25,7 @@
 // FetchReport implements controller.EngineClient.
 func (c *EngineClient) FetchReport(ctx context.Context, upstream crocushollow.Upstream) (crocushollow.EngineReport, error) {
 	var report crocushollow.EngineReport
-	err := doJSON(ctx, c.client, http.MethodGet, "http://"+upstream.Address+"/control/report", nil, &report)
+	err := doLimitedJSON(ctx, c.client, http.MethodGet, "http://"+upstream.Address+"/control/report", nil, maxEngineResponseBytes, &report)
 	return report, err
 }
 
--- a/transport/connector/log.go
+++ b/transport/connector/log.go
@@ -24,6 +24,11 @@
 	dialTimeout      = 300 * time.Millisecond
 	idleTimeout      = 30 * time.Second
 	maxResponseBytes = 64 << 20
+	// maxEngineResponseBytes is the maximum size of a response of an engine. A report names
+	// its models and adapters, in less than 100 bytes each.
+	maxEngineResponseBytes = 256 << 10
+	// maxResponseHeaderBytes bounds the header of a response. It has less than 1 KB.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // newClient returns an HTTP client that opens connections from a source address.
@@ -33,6 +38,8 @@
 		DialContext:         dialer.New(dialer.Config{SourceAddress: source, Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
@@ -55,6 +62,11 @@
 // nil. If the request fails, it closes the idle connections, so that a dead
 // connection is not reused.
 func doJSON(ctx context.Context, client *http.Client, method, target string, body []byte, out any) error {
+	return doLimitedJSON(ctx, client, method, target, body, maxResponseBytes, out)
+}
+
+// doLimitedJSON is like doJSON, for responses up to a size.
+func doLimitedJSON(ctx context.Context, client *http.Client, method, target string, body []byte, limit int64, out any) error {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -66,7 +78,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	limitedBody := io.LimitReader(response.Body, maxResponseBytes)
+	limitedBody := io.LimitReader(response.Body, limit)
 	if response.StatusCode/100 != 2 {
 		message, _ := io.ReadAll(io.LimitReader(limitedBody, maxErrorBodyBytes))
 		return &StatusError{URL: target, Status: response.StatusCode, Body: string(message)}
