Limit the send buffers of connections of callers

Cause: the kernel grows the send buffer of a connection as long as data arrives, and nothing limited it. The process itself stayed small.

Change: the listeners limit the send buffer to 256 KB; the kernel allows twice that.

--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -123,7 +123,7 @@
 func listenAll(ctx context.Context, servers map[string]*http.Server) (map[*http.Server]net.Listener, error) {
 	listeners := make(map[*http.Server]net.Listener, len(servers))
 	for address, server := range servers {
-		listener, err := acceptor.Listen(ctx, address, tcpKeepAlive)
+		listener, err := acceptor.Listen(ctx, address, acceptor.Config{KeepAlive: tcpKeepAlive, SendBufferBytes: sendBufferBytes})
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +41,36 @@
 	return &endlessSite{site, session, callers, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 }
 
+// queuedMemory returns the size of the data in MB that the kernel holds for the connections of
+// the process.
+func (s *endlessSite) queuedMemory() int64 {
+	GinkgoHelper()
+	sockets := make(map[string]bool)
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", s.session.Command.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	for _, file := range files {
+		// The process may have closed the file.
+		target, _ := os.Readlink(file)
+		sockets[strings.TrimSuffix(strings.TrimPrefix(target, "socket:["), "]")] = true
+	}
+	table, err := os.ReadFile("/proc/net/tcp")
+	Expect(err).NotTo(HaveOccurred())
+	queued := int64(0)
+	for line := range strings.Lines(string(table)) {
+		const stateField, queueField, inodeField, listening = 3, 4, 9, "0A"
+		fields := strings.Fields(line)
+		if len(fields) <= inodeField || !sockets[fields[inodeField]] || fields[stateField] == listening {
+			continue
+		}
+		for _, queue := range strings.Split(fields[queueField], ":") {
+			size, err := strconv.ParseInt(queue, 16, 64)
+			Expect(err).NotTo(HaveOccurred())
+			queued += size
+		}
+	}
+	return queued >> 20
+}
+
 // sendSound sends a request that a faulty engine cannot get, and reports whether it was served.
 func (s *endlessSite) sendSound(ctx context.Context) bool {
 	request := stockRequest()
@@ -78,7 +111,7 @@
 		s.StartUpstream(config).SetBehaviour(func(platformtest.Execution) platformtest.Behaviour {
 			return behaviours[int(count.Add(1))%len(behaviours)]
 		})
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(time.Second)
 		ctx, stop := context.WithCancel(context.Background())
 		var callers sync.WaitGroup
 		var statuses sync.Map
@@ -112,6 +145,29 @@
 			platformtest.EndlessEvent, platformtest.EndlessComments, platformtest.EndlessExtension, platformtest.EndlessTrailer, platformtest.EndlessRest),
 	)
 
+	// Guards against a machine whose kernel runs out of memory because of streams without end
+	// that nobody reads.
+	It("keeps its memory while callers do not read streams without end", func() {
+		s := startEndlessSite()
+		config := versionedEngine("i-faulty", "v1")
+		config.Slots = exchanges
+		s.StartUpstream(config).SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.EndlessStream })
+		s.DeregisterUpstream("i-a")
+		s.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		for range exchanges {
+			startStream(s.callers)
+		}
+		Eventually(s.queuedMemory, "2s", "10ms").Should(BeNumerically(">", 4), "the streams have begun")
+		peak := int64(0)
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			peak = max(peak, s.queuedMemory())
+		}
+		AddReportEntry("result", fmt.Sprintf("peak of the queues %d MB", peak))
+		Expect(peak).To(BeNumerically("<", smallMachine*30/100))
+		s.expectSound(time.Second)
+	})
+
 	// Guards against a machine that runs out of memory because of reports without end.
 	It("keeps its memory while engines answer reports without end", func() {
 		s := startEndlessSite()
@@ -126,7 +182,7 @@
 	It("keeps its memory while streams could continue at such an engine", func() {
 		s := startEndlessSite()
 		s.DeregisterUpstream("i-b")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(time.Second)
 		var streams sync.WaitGroup
 		DeferCleanup(streams.Wait)
 		for n := range 4 * exchanges {
--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -9,6 +9,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/crocushollow/crocushollow/transport/dialer"
 )
 
 const (
@@ -19,12 +21,27 @@
 	pollInterval = 2 * time.Millisecond
 )
 
+// Config configures the connections that a listener accepts.
+type Config struct {
+	// KeepAlive is net's default if it is zero.
+	KeepAlive net.KeepAliveConfig
+	// SendBufferBytes limits the send buffer of each connection. If it is 0, the kernel
+	// chooses the limit.
+	SendBufferBytes int
+}
+
 // Listen opens a listener that can be drained. It does not offer multipath TCP, whose sockets
 // take no filter.
-func Listen(ctx context.Context, address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive}
-	config.SetMultipathTCP(false)
-	return config.Listen(ctx, "tcp", address)
+func Listen(ctx context.Context, address string, config Config) (net.Listener, error) {
+	options := net.ListenConfig{KeepAliveConfig: config.KeepAlive}
+	options.SetMultipathTCP(false)
+	if config.SendBufferBytes > 0 {
+		// Accepted connections inherit the limit.
+		options.Control = func(_, _ string, conn syscall.RawConn) error {
+			return dialer.LimitSendBuffer(conn, config.SendBufferBytes)
+		}
+	}
+	return options.Listen(ctx, "tcp", address)
 }
 
 // Drain makes the kernel ignore new connections, and returns once those under way are
--- a/transport/dialer/sockopt_linux.go
+++ b/transport/dialer/sockopt_linux.go
@@ -22,6 +22,12 @@
 	return setOption(conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 }
 
+// LimitSendBuffer limits the memory for bytes that the peer has not acknowledged. The kernel
+// allows twice the size.
+func LimitSendBuffer(conn syscall.RawConn, size int) error {
+	return setOption(conn, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
+}
+
 func setOption(conn syscall.RawConn, level, option, value int) error {
 	var optionErr error
 	err := conn.Control(func(fd uintptr) {
