Limit what errors and log lines quote of a response

A log line per request could have 300 KB of what a faulty engine had sent.

Cause: errors of net/http quote the line that is no response, up to the limit of a header, and its own log 4 KB of what comes after a response. JSON multiplies bytes that are no text.

--- a/cmd/crocushollowd/hosted.go
+++ b/cmd/crocushollowd/hosted.go
@@ -45,6 +45,7 @@
 	// Close flushes the buffered lines. Its error cannot be handled at this point.
 	defer func() { _ = output.Close() }()
 	logger := zerolog.New(output).Level(level).With().Timestamp().Logger()
+	logLibraries(logger)
 	link, err := datagram.Listen(settings.Listen.Peers)
 	if err != nil {
 		return err
--- a/cmd/crocushollowd/main.go
+++ b/cmd/crocushollowd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -15,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocushollow/crocushollow/daemon"
+	"github.com/crocushollow/crocushollow/protocol/buffer"
 )
 
 // Exit codes.
@@ -80,6 +82,7 @@
 		return err
 	}
 	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	logLibraries(logger)
 	stopTracing, err := daemon.StartTracing(settings)
 	if err != nil {
 		return err
@@ -94,6 +97,22 @@
 	return errors.Join(err, stopTracing(context.Background()))
 }
 
+// logLibraries writes the log lines of libraries to the logger. Those of net/http quote what an
+// upstream has sent.
+func logLibraries(logger zerolog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{logger})
+}
+
+// libraryLog writes the beginning of each line to a logger.
+type libraryLog struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.logger.Warn().Msg(buffer.LimitText(string(line)))
+	return len(line), nil
+}
+
 // signalContexts returns a context that is canceled by the first termination signal,
 // shutdownCtx, and one that is canceled by a later signal if that is one of forced.
 func signalContexts(forced ...os.Signal) (ctx, shutdownCtx context.Context, release func()) {
--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/onsi/gomega/gexec"
 
 	"github.com/crocushollow/crocushollow/platform/platformtest"
@@ -103,7 +104,8 @@
 
 	// Guards against a machine that runs out of memory because of an engine whose responses
 	// do not end.
-	DescribeTable("keeps its memory while an engine answers requests without end", func(behaviours ...platformtest.Behaviour) {
+	It("keeps its memory while an engine answers requests without end", func() {
+		behaviours := platformtest.EndlessBehaviours
 		s := startEndlessSite()
 		config := versionedEngine("i-faulty", "v1")
 		config.Slots = exchanges
@@ -140,10 +142,30 @@
 			AddReportEntry("faulty", fmt.Sprint("answers without end: ", count.Load()))
 		})
 		s.expectSound(3 * time.Second)
-	},
-		Entry("in all parts of a response", platformtest.EndlessHeader, platformtest.EndlessHeaderLine, platformtest.EndlessInterim, platformtest.EndlessBody,
-			platformtest.EndlessEvent, platformtest.EndlessComments, platformtest.EndlessExtension, platformtest.EndlessTrailer, platformtest.EndlessRest),
-	)
+	})
+
+	// Guards against log lines, which are buffered, that hold what an engine has sent.
+	It("does not log what an engine sends in the place of responses", func() {
+		s := startEndlessSite()
+		s.SetBehaviour(func(e platformtest.Execution) platformtest.Behaviour {
+			if len(e.ID)%2 == 0 {
+				return platformtest.EndlessRest
+			}
+			return platformtest.EndlessLines
+		})
+		for n := range 8 {
+			request := notesRequest()
+			request.APIKey, request.ID = platformtest.APIKey, strings.Repeat("x", 20+n)
+			request.PromptParts = []string{request.ID}
+			_, err := platformtest.SendWith(context.Background(), s.client, s.callers, request)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Eventually(s.session.Out, "2s").Should(gbytes.Say("call ended"))
+		s.session.Terminate().Wait("10s")
+		for line := range strings.Lines(string(s.session.Out.Contents()) + string(s.session.Err.Contents())) {
+			Expect(len(line)).To(BeNumerically("<", 4<<10), line[:min(len(line), 200)])
+		}
+	})
 
 	// Guards against a machine whose kernel runs out of memory because of streams without end
 	// that nobody reads.
--- a/protocol/buffer/buffer_test.go
+++ b/protocol/buffer/buffer_test.go
@@ -1,6 +1,7 @@
 package buffer_test
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -57,6 +58,14 @@
 		Expect(string(b.Bytes())).To(Equal(text))
 	})
 
+	It("limit errors that quote a response", func() {
+		err := buffer.LimitError(fmt.Errorf("malformed %q: %w", strings.Repeat("\xff", 60_000), io.ErrUnexpectedEOF))
+		Expect(len(err.Error())).To(BeNumerically("<", 1<<10))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(buffer.LimitError(io.EOF)).To(BeIdenticalTo(io.EOF))
+		Expect(buffer.LimitError(nil)).To(Succeed())
+	})
+
 	It("pass on why a response broke off", func() {
 		b := buffer.New(buffer.NewBudget(budget), 1<<20)
 		Expect(b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF))).To(MatchError(io.ErrUnexpectedEOF))
