--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -144,6 +144,25 @@
 		s.expectSound(3 * time.Second)
 	})
 
+	// Guards against a machine that runs out of memory because of a store whose responses do
+	// not end.
+	DescribeTable("keeps its memory while the store answers without end", func(head, text string) {
+		site := platformtest.NewPlatform()
+		DeferCleanup(site.Close)
+		settings, _, _ := hostedSettings(site)
+		settings = strings.Replace(settings, site.Store.Address(), startEndlessServer(head, text), 1)
+		session, _ := startHostedDaemon(settings + fmt.Sprintf("[limits]\nmemory_mb = %d\n", smallMachine))
+		time.Sleep(3 * time.Second)
+		peak := peakMemory(session)
+		AddReportEntry("result", fmt.Sprintf("peak %d MB", peak))
+		Expect(session).NotTo(gexec.Exit())
+		Expect(peak).To(BeNumerically("<", smallMachine*70/100))
+	},
+		Entry("in a header", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"),
+		Entry("in a body", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+		Entry("in a page", "HTTP/1.1 200 OK\r\n\r\n"+`{"items":[`, `{"key":"a"},`),
+	)
+
 	// Guards against log lines, which are buffered, that hold what an engine has sent.
 	It("does not log what an engine sends in the place of responses", func() {
 		s := startEndlessSite()
