Draw responses without end in the soak, and check the memory of instances

Engines and upstreams send bytes without end in nine ways, as often together as each other failure, and the engines of a zone answer reports and orders without end for up to 6 s. A new check, instance_memory, finds processes that use more than 70% of a machine's 284 MB, or that end by themselves.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -79,6 +79,8 @@
 	// Mixed counts the streams with events of two software versions.
 	Mixed  int            `json:"mixed"`
 	Broken map[string]int `json:"broken"`
+	// PeakMemoryMB is the largest resident memory of a process.
+	PeakMemoryMB int `json:"peak_memory_mb"`
 	// Violations lists the first violations of each check.
 	Violations []Violation `json:"violations"`
 }
@@ -125,6 +127,7 @@
 	j.checkOrders()
 	j.checkTable()
 	j.checkRecovery()
+	j.checkMemory()
 	return j.result
 }
 
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -121,6 +121,8 @@
 			}
 		}),
 		Entry("weights that exceed an engine's memory", "memory", func(h *history) { h.upstreams[0].faults = []string{"too much"} }),
+		Entry("an instance that uses too much memory", "instance_memory", func(h *history) { h.addMemory("node-0", maxResidentMB+1) }),
+		Entry("an instance that ends by itself", "instance_memory", func(h *history) { h.addExit("node-0: exit status 2") }),
 		Entry("credentials forwarded to an upstream", "keys", func(h *history) {
 			h.upstreams[0].runs[0].Header.Set("Authorization", "Bearer x")
 		}),
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -32,12 +32,30 @@
 	zoneOutages map[string][]interval
 	drainedAt   map[string]time.Time
 	// rateLimits holds the times in which upstreams named a rate limit.
-	rateLimits    []rateLimit
-	upstreams     []upstream
+	rateLimits []rateLimit
+	upstreams  []upstream
+	// memory holds the largest resident memory of each process in MB, and exits describes
+	// the processes that ended by themselves.
+	memory        map[string]int
+	exits         []string
 	recoveryFrom  time.Time
 	recoveryUntil time.Time
 }
 
+// addMemory records the largest resident memory of a process.
+func (h *history) addMemory(name string, megabytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.memory[name] = max(h.memory[name], megabytes)
+}
+
+// addExit records a process that ended by itself.
+func (h *history) addExit(description string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.exits = append(h.exits, description)
+}
+
 // interval is a time range. A zero end means that it is still open.
 type interval struct{ from, until time.Time }
 
@@ -123,7 +141,7 @@
 	return &history{
 		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
 		linkFaults:  make(map[string][]interval),
-		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time),
+		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time), memory: make(map[string]int),
 	}
 }
 
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -130,12 +130,23 @@
 		platformtest.Reject, platformtest.Crash, platformtest.ResetMidStream, platformtest.ServerError, platformtest.WrongRequestID, platformtest.Hang,
 		platformtest.RejectTwice, platformtest.RejectTwice, platformtest.RejectTwice, platformtest.ResetMidStream,
 	}
-	if index := int(draw / probability); index < len(choices) {
+	index := int(draw / probability)
+	switch {
+	case index < len(choices):
 		return choices[index]
+	case index == len(choices):
+		part := draw/probability - float64(index)
+		return endlessBehaviours[int(part*float64(len(endlessBehaviours)))]
 	}
 	return platformtest.Serve
 }
 
+// endlessBehaviours are drawn together as often as each other failure. After EndlessRest a
+// caller gets a response of the upstream that is not its own.
+var endlessBehaviours = slices.DeleteFunc(slices.Clone(platformtest.EndlessBehaviours), func(b platformtest.Behaviour) bool {
+	return b == platformtest.EndlessRest
+})
+
 // injectFault starts one random fault. Faults that are listed twice are twice as
 // likely.
 func (i *injector) injectFault() {
@@ -143,7 +154,7 @@
 		i.killProcess, i.killProcess, i.pauseProcess, i.pauseProcess, i.stopProcess, i.stopProcess, i.rollProcesses, i.rollProcesses,
 		i.cutStoreLink, i.cutStoreLink, i.degradeStore, i.degradeStore, i.compactStore, i.moveLeadership,
 		i.degradeLink, i.degradeLink, i.blackholeLink, i.crashUpstream, i.drainUpstream,
-		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore,
+		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore, i.breakControl,
 	}
 	faults[i.random.IntN(len(faults))]()
 }
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -20,6 +20,8 @@
 id = "%s"
 availability_zone = "%s"
 first_start = %t
+[limits]
+memory_mb = %d
 [listen]
 callers = "%s"
 readiness = "%s"
@@ -50,6 +52,8 @@
 	readiness string
 	discovery string
 	peers     string
+	// onFailure is called if the process ends with an error of its own.
+	onFailure func(description string)
 	// store is the proxy between the instance and the platform's store.
 	store *faultproxy.Proxy
 
@@ -82,7 +86,7 @@
 // start starts the program. Restarts append to the same log file.
 func (p *process) start(isFirstStart bool) error {
 	file := filepath.Join(p.directory, p.name+".toml")
-	text := fmt.Sprintf(settingsTemplate, p.name, p.zone, isFirstStart, p.callers, p.readiness, p.discovery, p.peers,
+	text := fmt.Sprintf(settingsTemplate, p.name, p.zone, isFirstStart, machineMemoryMB, p.callers, p.readiness, p.discovery, p.peers,
 		p.store.Address(), retryRatio, retryAllowance, retryWindow, limitWindow, limitSlack)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -101,8 +105,11 @@
 	exited := make(chan struct{})
 	go func() {
 		defer close(exited)
-		// The exit status of a killed process carries no information.
+		// The state tells more than the error.
 		_ = command.Wait()
+		if command.ProcessState.ExitCode() > 0 {
+			p.onFailure(fmt.Sprintf("%s: %s", p.name, command.ProcessState))
+		}
 		_ = log.Close()
 	}()
 	p.mu.Lock()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -79,6 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
+		p.onFailure = s.history.addExit
 		s.fleet = append(s.fleet, p)
 		if err := p.start(true); err != nil {
 			return nil, err
@@ -107,6 +108,10 @@
 	callersCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	group, callersCtx := errgroup.WithContext(callersCtx)
+	group.Go(func() error {
+		s.sampleMemory(callersCtx)
+		return nil
+	})
 	for number := range s.config.Callers {
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))
 		group.Go(func() error { return newCaller(s, number, random).run(callersCtx) })
--- a/standin/soaker/upstream_faults.go
+++ b/standin/soaker/upstream_faults.go
@@ -133,6 +133,17 @@
 	}})
 }
 
+// breakControl makes the engines of a zone answer reports and orders without end.
+func (i *injector) breakControl() {
+	zone := []string{"za", "zb"}[i.random.IntN(2)]
+	for _, engine := range i.soaker.site.Upstreams() {
+		if engine.IsModelEngine() && engine.Zone() == zone {
+			engine.SetControlEndless(true)
+			i.scheduleEnd(func() { engine.SetControlEndless(false) })
+		}
+	}
+}
+
 // limitUpstream makes an upstream name a rate limit in its responses.
 func (i *injector) limitUpstream() {
 	id := i.pickUpstream()
