Accept in a planned stop only calls that will end

What callers saw: requests that were accepted after SIGTERM, some that may not be repeated, were passed on and cut without an answer 7.3 s after it, while two other instances were ready.

Cause: for 3 s after SIGTERM a call was accepted if nine of ten similar ones would end, and a call of a route without 16 served requests whatever it took. That suits callers that know no other instance. It was done also if there is one, where a rejected call costs its caller 50 ms. An instance that handles SIGTERM late (0.27 s, once in 16 stops, load average 55) also accepts such calls later than 3 s after the signal.

Change: while another instance is ready, a call is accepted if it takes no longer than any of the latest calls of its route, and one that may not be repeated only if it takes no longer than 1.25 times that; the factors grow with fewer samples. A route that has served nothing has no evidence, so its calls are rejected.

--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -53,11 +53,14 @@
 	if times == nil {
 		return proxy.Shutdown{}
 	}
-	retryAfter := restartRetryAfter
-	if len(i.gossiper.Fleet().Ready) > 0 {
-		retryAfter = drainRetryAfter
+	state := proxy.Shutdown{
+		CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt,
+		OthersReady: len(i.gossiper.Fleet().Ready) > 0, RetryAfter: restartRetryAfter,
 	}
-	return proxy.Shutdown{CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt, RetryAfter: retryAfter}
+	if state.OthersReady {
+		state.RetryAfter = drainRetryAfter
+	}
+	return state
 }
 
 // callGate counts the calls in flight and rejects calls once it is closed.
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/estimator"
 )
@@ -15,6 +16,8 @@
 	CallersMoveBy time.Time
 	// EndsAt is when the instance aborts the calls in flight.
 	EndsAt time.Time
+	// OthersReady reports whether other instances accept calls.
+	OthersReady bool
 	// RetryAfter is the time after which another instance accepts calls.
 	RetryAfter time.Duration
 }
@@ -23,26 +26,36 @@
 var errShuttingDown = rejecter.New(http.StatusServiceUnavailable, rejecter.InstanceShuttingDown,
 	"the instance is shutting down and the request may take longer than that")
 
-// checkShutdown rejects a call that may not end before the instance stops. Callers that
-// have had no time to learn of another instance may know none, so their calls are accepted
-// if they are likely to end. Later ones are accepted only if they will surely end.
+// checkShutdown rejects a call that may not end before the instance stops.
 func (r *run) checkShutdown(now time.Time) *rejecter.Error {
 	shutdown := r.proxy.config.Shutdown()
 	if shutdown.EndsAt.IsZero() || !r.deadline.After(shutdown.EndsAt) {
 		return nil
 	}
-	left := shutdown.EndsAt.Sub(now)
 	estimate := r.proxy.config.Estimator.Estimate(r.estimatedRequest(), now)
-	isAccepted := estimate.IsKnown && estimate.Longest <= left
-	if r.call.ArrivedAt.Before(shutdown.CallersMoveBy) {
-		isAccepted = estimate.Likely <= left
-	}
-	if isAccepted {
+	if r.mayEndWithin(shutdown.EndsAt.Sub(now), estimate, &shutdown) {
 		return nil
 	}
 	return errShuttingDown.WithRetryAfter(shutdown.RetryAfter)
 }
 
+// mayEndWithin reports whether a call is accepted for which some time is left. While another
+// instance is ready, a rejected call costs its caller little. Without one, callers that have
+// had no time to learn of another instance may know none, so their calls are accepted if they
+// are likely to end, or if nothing is known of their route.
+func (r *run) mayEndWithin(left time.Duration, estimate estimator.Estimate, shutdown *Shutdown) bool {
+	switch {
+	case !r.call.ArrivedAt.Before(shutdown.CallersMoveBy):
+		return estimate.IsKnown && estimate.Longest <= left
+	case !shutdown.OthersReady:
+		return !estimate.IsKnown || estimate.Likely <= left
+	case r.route.Kind == catalog.NonIdempotent:
+		return estimate.HasSamples && estimate.Longest <= left
+	default:
+		return estimate.HasSamples && estimate.Slowest <= left
+	}
+}
+
 func (r *run) estimatedRequest() estimator.Request {
 	return estimator.Request{Route: r.route.Name, OutputTokens: r.call.MaxOutputTokens}
 }
--- a/state/estimator/estimator.go
+++ b/state/estimator/estimator.go
@@ -94,12 +94,14 @@
 
 // Estimate is the estimated duration of a request.
 type Estimate struct {
-	// IsKnown is false if too few requests of the route have been served. The durations
-	// are 0 then.
+	// IsKnown is false if too few requests of the route have been served.
 	IsKnown bool
-	// Likely is the duration that most requests do not exceed, and Longest one that
-	// practically none does.
-	Likely, Longest time.Duration
+	// HasSamples is false if none has been served. The durations are 0 then.
+	HasSamples bool
+	// Likely is the duration that most requests do not exceed, Slowest one that none of the
+	// latest exceeds, and Longest one that practically none does. The fewer samples there
+	// are, the longer are Slowest and Longest.
+	Likely, Slowest, Longest time.Duration
 }
 
 // Estimate returns how long a request takes that begins now, as far as the latest requests
@@ -109,7 +111,7 @@
 	defer e.mu.Unlock()
 	known := e.route(request.Route)
 	count := len(known.samples)
-	if count < minSampleCount {
+	if count == 0 {
 		return Estimate{}
 	}
 	durations := make([]time.Duration, 0, count)
@@ -122,11 +124,13 @@
 	for run := range known.running {
 		oldest = max(oldest, now.Sub(run.startedAt))
 	}
-	margin := baseMargin + sparseMargin/float64(count)
+	slowest := float64(max(durations[count-1], oldest))
 	return Estimate{
-		IsKnown: true,
-		Likely:  durations[int(likelyQuantile*float64(count))],
-		Longest: time.Duration(margin * float64(max(durations[count-1], oldest))),
+		IsKnown:    count >= minSampleCount,
+		HasSamples: true,
+		Likely:     durations[int(likelyQuantile*float64(count))],
+		Slowest:    time.Duration((1 + sparseMargin/float64(count) - sparseMargin/sampleCount) * slowest),
+		Longest:    time.Duration((baseMargin + sparseMargin/float64(count)) * slowest),
 	}
 }
 
--- a/state/estimator/estimator_test.go
+++ b/state/estimator/estimator_test.go
@@ -48,6 +48,18 @@
 		Expect(estimate.Longest).To(BeNumerically("~", 1512500*time.Microsecond, time.Millisecond))
 	})
 
+	// Guards against a few short requests after which any request counts as short.
+	It("is the longer the fewer requests a route has served", func() {
+		e := estimator.New()
+		Expect(e.Estimate(stream(10), start).HasSamples).To(BeFalse())
+		serve(e, 1, stream(10), time.Second, time.Second)
+		Expect(e.Estimate(stream(10), start).Slowest).To(Equal(8875 * time.Millisecond))
+		serve(e, 15, stream(10), time.Second, time.Second)
+		Expect(e.Estimate(stream(10), start).Slowest).To(Equal(1375 * time.Millisecond))
+		serve(e, 48, stream(10), time.Second, time.Second)
+		Expect(e.Estimate(stream(10), start).Slowest).To(Equal(time.Second))
+	})
+
 	// Guards against estimates that lag behind the load, since slow requests end late.
 	It("is at least the age of a request that still runs", func() {
 		e := estimator.New()
