Cut no stream that ends before the process is killed

What callers saw: streams cut 7.3 s after SIGTERM, 0.7 s before SIGKILL, some of them one event before their end; and calls refused because they need the time in between.

Cause: the shutdown ended 700 ms before the end of the grace period. All that the process does after it is to close connections and write its log. That took 6 to 135 ms in 14 stops with cut calls (load average 35 to 60).

Change: the margin is 150 ms. The final time in which calls are rejected ends with the grace period too; before, it could go on for 200 ms after it.

Evidence: the new spec fails before: the stream, 7.7 s long, is cut after nine of ten events.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -54,8 +54,9 @@
 	drainRetryAfter   = 50 * time.Millisecond
 	restartRetryAfter = time.Second
 	// killMargin is the time between the end of a graceful shutdown and the end of
-	// the grace period, when the process is killed.
-	killMargin = 700 * time.Millisecond
+	// the grace period, when the process is killed. All that is left to do then is to end
+	// the calls in flight and to write the log.
+	killMargin = 150 * time.Millisecond
 	// leaseMargin covers the network latency of an order.
 	leaseMargin = 150 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to an upstream. It is many
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -41,7 +41,12 @@
 		i.logger.Warn().Err(err).Msg("grace period expired with requests in flight")
 		return
 	}
-	time.Sleep(lingerTime)
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -143,6 +143,55 @@
 	})
 })
 
+var _ = Describe("The end of the grace period", func() {
+	const grace = 8 * time.Second
+
+	// stopDuring stops an instance while it serves a request that was sent before. It returns
+	// the response.
+	stopDuring := func(f *hostedFleet, r platformtest.Request) (platformtest.Response, error) {
+		time.Sleep(time.Second)
+		r.APIKey, r.Timeout = platformtest.APIKey, 14*time.Second
+		type result struct {
+			response platformtest.Response
+			err      error
+		}
+		results := make(chan result)
+		go func() {
+			response, err := platformtest.Send(context.Background(), f.Instances[0].Settings.Listen.Callers, r)
+			results <- result{response, err}
+		}()
+		time.Sleep(100 * time.Millisecond)
+		stoppedAt := time.Now()
+		f.Instances[0].Stop()
+		end := <-results
+		Eventually(f.Instances[0].Done(), "9s").Should(BeClosed())
+		// The platform kills the process then.
+		Expect(time.Since(stoppedAt)).To(BeNumerically("<", grace))
+		return end.response, end.err
+	}
+	patientFleet := func() *hostedFleet {
+		f := startHostedFleet(1)
+		table := f.Table()
+		table.Version, table.TimeoutMs = table.Version+1, 15000
+		f.PutTable(table)
+		return f
+	}
+
+	// Guards against streams that are cut earlier than the process is killed.
+	It("cuts no stream that ends before the process is killed", func() {
+		f := patientFleet()
+		config := versionedEngine("i-slow", "v1")
+		config.EventInterval = 770 * time.Millisecond
+		f.StartUpstream(config)
+		f.DeregisterUpstream("i-a")
+		f.DeregisterUpstream("i-b")
+		response, err := stopDuring(f, notesRequest())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Complete).To(BeTrue())
+		Expect(response.EventIDs()).To(HaveLen(10))
+	})
+})
+
 var _ = Describe("An instance that stops to accept connections", func() {
 	// Guards against a closing listener that resets connections which wait to be accepted.
 	It("resets no connection that was established", func() {
