Answer at the end of the grace period the calls without a response

What callers saw: at the end of the grace period the connections of all calls in flight were closed, also of those that had no byte of a response. A caller could not tell whether a request that may not be repeated ran, and one that still waited for an upstream was not told that it did not run.

Cause: the end of the shutdown closes the server, whose connections end before the calls learn of it. The calls were taken for ones whose callers had left.

Change: the calls in flight are canceled first, with the stop as the cause. Those without a header are answered: 502 if the request may have run, 503 with Retry-After if it did not. Streams that have begun are aborted as before. The instance waits up to 100 ms for the answers.

Evidence: the new spec fails before with EOF.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -57,6 +57,8 @@
 	// the grace period, when the process is killed. All that is left to do then is to end
 	// the calls in flight and to write the log.
 	killMargin = 150 * time.Millisecond
+	// abortTimeout bounds the wait for aborted calls to end.
+	abortTimeout = 100 * time.Millisecond
 	// leaseMargin covers the network latency of an order.
 	leaseMargin = 150 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to an upstream. It is many
@@ -106,8 +108,10 @@
 	draining  atomic.Bool
 	// shutdown is nil before the shutdown.
 	shutdown atomic.Pointer[shutdownTimes]
-	// calls admits calls until the instance stops.
-	calls callGate
+	// calls admits calls until the instance stops. Those in flight end once aborted is done.
+	calls   callGate
+	aborted context.Context
+	abort   context.CancelFunc
 	// loadChanged has one element while this instance's load on upstreams has
 	// changes that are not broadcast yet.
 	loadChanged chan struct{}
@@ -172,6 +176,7 @@
 			Capacity:         settings.Limits.Cores,
 		},
 	}
+	i.aborted, i.abort = context.WithCancel(context.Background())
 	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart})
 	i.throttler = throttler.New(throttler.Config{
 		IsRegistered: i.isRegistered, OnNews: func() { signal(i.rateLimitsChanged) }, OnChange: i.logRateLimit,
@@ -227,7 +232,11 @@
 		return
 	}
 	defer i.calls.leave()
-	i.proxy.Serve(request.Context(), call, caller)
+	ctx, cancel := context.WithCancelCause(request.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(i.aborted, func() { cancel(proxy.ErrStopped) })
+	defer stop()
+	i.proxy.Serve(ctx, call, caller)
 }
 
 // requestLimits returns the operators' limits on the requests of callers. They are
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -39,6 +39,7 @@
 	time.Sleep(requestReadDelay)
 	if err := i.calls.close(ctx); err != nil {
 		i.logger.Warn().Err(err).Msg("grace period expired with requests in flight")
+		i.abortCalls()
 		return
 	}
 	linger := time.NewTimer(lingerTime)
@@ -49,6 +50,16 @@
 	}
 }
 
+// abortCalls ends the calls in flight. Those that have no response yet get an error.
+func (i *Instance) abortCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	i.abort()
+	if err := i.calls.close(ctx); err != nil {
+		i.logger.Warn().Err(err).Msg("calls have not ended")
+	}
+}
+
 // shutdownTimes are the times of a shutdown that has begun.
 type shutdownTimes struct{ callersMoveBy, endsAt time.Time }
 
--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -190,6 +190,17 @@
 		Expect(response.Complete).To(BeTrue())
 		Expect(response.EventIDs()).To(HaveLen(10))
 	})
+
+	// Guards against requests that may have run and whose connection ends without an answer.
+	It("answers the requests that have no response yet", func() {
+		f := patientFleet()
+		f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Hang })
+		response, err := stopDuring(f, orderRequest())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Status).To(Equal(http.StatusBadGateway))
+		Expect(response.Complete).To(BeTrue())
+		Expect(response.Body).To(ContainSubstring("instance_shutting_down"))
+	})
 })
 
 var _ = Describe("An instance that stops to accept connections", func() {
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -163,6 +163,7 @@
 	errPartCrashesUpstreams = rejecter.New(http.StatusServiceUnavailable, rejecter.RequestCrashesUpstreams, "upstreams crashed while they ran requests that have a part of this prompt").WithRetryAfter(crashRetryAfter)
 	errDeadlinePassed       = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the deadline passed before an upstream ran the request")
 	errTimedOut             = rejecter.New(http.StatusGatewayTimeout, rejecter.UpstreamTimeout, "the upstream did not respond in time").WithOutcome(crocushollow.OutcomeUnknown)
+	errAborted              = rejecter.New(http.StatusBadGateway, rejecter.InstanceShuttingDown, "the instance stopped before the upstream responded; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errUpstreamFailed       = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the upstream failed; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errRateLimited          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request ask for fewer requests")
 	errNotAccepted          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream accepted the request").WithRetryAfter(notAcceptedRetryAfter)
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -132,7 +132,10 @@
 // fail ends a call that no upstream served. It aborts the response if its header was
 // already sent.
 func (r *run) fail(ctx context.Context, apiErr *rejecter.Error) {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimedOut) {
+	if ctx.Err() != nil {
+		apiErr = r.cancellationError(context.Cause(ctx))
+	}
+	if apiErr == nil {
 		r.record.CallerLeft = true
 		return
 	}
@@ -141,15 +144,25 @@
 		r.writer.Abort()
 		return
 	}
-	if ctx.Err() != nil {
-		apiErr = errTimedOut
-		if !r.mayHaveRun {
-			apiErr = errDeadlinePassed
-		}
-	}
 	r.writeError(apiErr)
 }
 
+// cancellationError returns the error of a call whose context was canceled, or nil if its
+// caller has left.
+func (r *run) cancellationError(cause error) *rejecter.Error {
+	switch {
+	case errors.Is(cause, errTimedOut) && r.mayHaveRun:
+		return errTimedOut
+	case errors.Is(cause, errTimedOut):
+		return errDeadlinePassed
+	case errors.Is(cause, ErrStopped) && r.mayHaveRun:
+		return errAborted
+	case errors.Is(cause, ErrStopped):
+		return errShuttingDown.WithRetryAfter(r.proxy.config.Shutdown().RetryAfter)
+	}
+	return nil
+}
+
 func (r *run) writeError(apiErr *rejecter.Error) {
 	r.record.Error, r.record.Status = apiErr, apiErr.Status
 	if apiErr.Outcome == crocushollow.OutcomeNotRun && r.charged > 0 {
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -261,10 +261,13 @@
 }
 
 // handleCancellation classifies an attempt that ended because the caller
-// disconnected or the deadline passed.
+// disconnected, the deadline passed or the instance stopped.
 func (r *run) handleCancellation(ctx context.Context) (selector.Outcome, attemptResult) {
-	if errors.Is(context.Cause(ctx), errTimedOut) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errTimedOut):
 		return selector.Failed, retry
+	case errors.Is(cause, ErrStopped):
+		return selector.Abandoned, failed
 	}
 	r.record.CallerLeft = true
 	return selector.Abandoned, callerLeft
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +23,9 @@
 	RetryAfter time.Duration
 }
 
+// ErrStopped is the cause with which the context of a call is canceled when the instance stops.
+var ErrStopped = errors.New("the instance has stopped")
+
 // errShuttingDown rejects a call that would be aborted at the end of the shutdown.
 var errShuttingDown = rejecter.New(http.StatusServiceUnavailable, rejecter.InstanceShuttingDown,
 	"the instance is shutting down and the request may take longer than that")
