Handle signals from the start of the process

What operators saw: a process that got SIGHUP soon after its start ended, as did the requests that were sent to it. One that got SIGHUP in its last moments was ended by it too.

Cause: the handlers were registered after the settings were read and the instance was built, that of SIGHUP last and until the reloader ended. Until then, the default action ends the process.

Change: main registers the handlers first and keeps them. `crocushollowd run` has no reload, so a hangup ends it as before.

--- a/cmd/crocushollowd/hosted.go
+++ b/cmd/crocushollowd/hosted.go
@@ -28,7 +28,7 @@
 )
 
 // Run runs the instance until a signal stops it.
-func (c *hostedCommand) Run() error {
+func (c *hostedCommand) Run(received *signals) error {
 	settings, err := hosted.LoadSettings(c.Config)
 	if err != nil {
 		return &settingsError{err}
@@ -52,10 +52,10 @@
 	}
 	// The platform ends a process that takes too long with SIGKILL. Until then a shutdown
 	// goes on, however often SIGTERM is repeated.
-	ctx, shutdownCtx, release := signalContexts(os.Interrupt)
+	ctx, shutdownCtx, release := received.contexts(os.Interrupt)
 	defer release()
 	instance := hosted.New(settings, link, logger)
-	settingsReloader := &reloader{file: c.Config, instance: instance, logger: logger, done: make(chan struct{})}
+	settingsReloader := &reloader{file: c.Config, instance: instance, logger: logger, signals: received.reload, done: make(chan struct{})}
 	settingsReloader.reloadIfChanged()
 	go settingsReloader.run(ctx)
 	err = instance.Run(ctx, shutdownCtx)
--- a/cmd/crocushollowd/main.go
+++ b/cmd/crocushollowd/main.go
@@ -36,12 +36,14 @@
 }
 
 // Run runs the instance until a signal stops it.
-func (c *runCommand) Run() error {
+func (c *runCommand) Run(received *signals) error {
+	// Without a reload, a hangup ends the process as usual.
+	signal.Reset(syscall.SIGHUP)
 	settings, err := daemon.LoadSettings(c.Config)
 	if err != nil {
 		return &settingsError{err}
 	}
-	return run(settings)
+	return run(settings, received)
 }
 
 // settingsError reports invalid settings.
@@ -51,10 +53,12 @@
 func (e *settingsError) Error() string { return e.err.Error() }
 
 func main() {
+	// A signal that comes before its handler is registered ends the process.
+	received := receiveSignals()
 	var args arguments
 	command := kong.Parse(&args, kong.Name("crocushollowd"), kong.Description("Runs one instance of crocushollow."),
 		kong.Vars{"version": version()})
-	err := command.Run()
+	err := command.Run(received)
 	if err == nil {
 		return
 	}
@@ -76,7 +80,7 @@
 
 // run runs the instance. The first signal starts a graceful shutdown, and the second
 // one stops the instance immediately.
-func run(settings daemon.Settings) error {
+func run(settings daemon.Settings, received *signals) error {
 	level, err := zerolog.ParseLevel(settings.Logging.Level)
 	if err != nil {
 		return err
@@ -91,7 +95,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, shutdownCtx, release := signalContexts(syscall.SIGTERM, os.Interrupt)
+	ctx, shutdownCtx, release := received.contexts(syscall.SIGTERM, os.Interrupt)
 	defer release()
 	err = daemon.New(settings, logger, version()).Run(ctx, shutdownCtx, listeners)
 	return errors.Join(err, stopTracing(context.Background()))
@@ -113,17 +117,28 @@
 	return len(line), nil
 }
 
-// signalContexts returns a context that is canceled by the first termination signal,
-// shutdownCtx, and one that is canceled by a later signal if that is one of forced.
-func signalContexts(forced ...os.Signal) (ctx, shutdownCtx context.Context, release func()) {
+// signals receives the signals of the process.
+type signals struct {
+	// termination receives SIGTERM and interrupts, and reload SIGHUP.
+	termination, reload chan os.Signal
+}
+
+func receiveSignals() *signals {
+	received := &signals{termination: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(received.termination, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(received.reload, syscall.SIGHUP)
+	return received
+}
+
+// contexts returns a context that is canceled by the first termination signal, shutdownCtx,
+// and one that is canceled by a later signal if that is one of forced.
+func (s *signals) contexts(forced ...os.Signal) (ctx, shutdownCtx context.Context, release func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	shutdownCtx, shutdown := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	go func() {
-		<-signals
+		<-s.termination
 		shutdown()
-		for !slices.Contains(forced, <-signals) {
+		for !slices.Contains(forced, <-s.termination) {
 		}
 		cancel()
 	}()
--- a/cmd/crocushollowd/reload.go
+++ b/cmd/crocushollowd/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +20,8 @@
 	file     string
 	instance *hosted.Instance
 	logger   zerolog.Logger
+	// signals receives SIGHUP.
+	signals <-chan os.Signal
 	// lastText is the text of the settings file when it last changed, valid or not.
 	lastText []byte
 	done     chan struct{}
@@ -31,16 +31,13 @@
 // context ends.
 func (r *reloader) run(ctx context.Context) {
 	defer close(r.done)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-r.signals:
 		case <-ticker.C:
 		}
 		r.reloadIfChanged()
--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -55,12 +55,18 @@
 	GinkgoHelper()
 	file := filepath.Join(GinkgoT().TempDir(), "instance.toml")
 	Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	return startHostedDaemonWith(file), file
+}
+
+// startHostedDaemonWith starts an instance with a settings file as a process.
+func startHostedDaemonWith(file string) *gexec.Session {
+	GinkgoHelper()
 	command := exec.Command(daemonBinary, "hosted")
 	command.Env = append(os.Environ(), "CROCUSHOLLOW_CONFIG="+file)
 	session, err := gexec.Start(command, GinkgoWriter, GinkgoWriter)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { session.Kill().Wait("5s") })
-	return session, file
+	return session
 }
 
 // isInstanceReady returns a function that probes the readiness of an instance.
@@ -101,6 +107,27 @@
 		Eventually(session, "8s").Should(gexec.Exit(0))
 	})
 
+	// Guards against a process that ends because a signal comes while it starts.
+	It("keeps running if SIGHUP comes before its settings are read", func() {
+		site := platformtest.NewPlatform()
+		DeferCleanup(site.Close)
+		text, readiness, _ := hostedSettings(site)
+		file := filepath.Join(GinkgoT().TempDir(), "instance.toml")
+		// The process waits for the text of a pipe. Later it reads the file in its place.
+		Expect(syscall.Mkfifo(file, 0o600)).To(Succeed())
+		session := startHostedDaemonWith(file)
+		pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+		Expect(err).NotTo(HaveOccurred())
+		defer pipe.Close()
+		session.Signal(syscall.SIGHUP)
+		Expect(os.WriteFile(file+".new", []byte(text), 0o600)).To(Succeed())
+		Expect(os.Rename(file+".new", file)).To(Succeed())
+		Consistently(session, "100ms").ShouldNot(gexec.Exit())
+		Expect(pipe.WriteString(text)).To(Equal(len(text)))
+		Expect(pipe.Close()).To(Succeed())
+		Eventually(isInstanceReady(readiness), "5s").Should(BeTrue())
+	})
+
 	// Guards against streams that break off because the platform repeats SIGTERM within the
 	// grace period, as overlapping rolling restarts do.
 	It("completes its streams when SIGTERM is repeated", func() {
