Tell calls cut by a shutdown by the cause of their end

The log took calls for cut by the shutdown if they ended after it by the clock. Since the stop cancels calls with its own cause, that cause decides.

--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -191,8 +191,7 @@
 	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
 	defer r.recordDuration()
 	r.tryUpstreams(ctx)
-	r.recordShutdown()
-	if r.record.CallerLeft || r.record.CutByShutdown {
+	if r.record.CallerLeft {
 		// A caller that has closed its side of the connection only must not take what it
 		// has received for a complete response.
 		r.writer.Abort()
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -141,6 +141,7 @@
 	}
 	if r.headerSent {
 		r.record.Aborted = true
+		r.record.CutByShutdown = errors.Is(context.Cause(ctx), ErrStopped)
 		r.writer.Abort()
 		return
 	}
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -64,15 +64,6 @@
 	return estimator.Request{Route: r.route.Name, OutputTokens: r.call.MaxOutputTokens}
 }
 
-// recordShutdown tells a call that the end of the shutdown has cut from one whose caller has
-// left: both cancel the request.
-func (r *run) recordShutdown() {
-	endsAt := r.proxy.config.Shutdown().EndsAt
-	if r.record.CallerLeft && !endsAt.IsZero() && !r.proxy.config.Now().Before(endsAt) {
-		r.record.CallerLeft, r.record.CutByShutdown = false, true
-	}
-}
-
 // recordDuration records how long the call took if it was served.
 func (r *run) recordDuration() {
 	record := &r.record
