Reject streams in a planned stop only if their retries are served

While several instances were stopping, an instance rejected each stream that was not sure to end if a single other one was ready. The callers' only retry often reached another one that was stopping, and was rejected too.

Change: for streams the strict rule holds while nearly all other instances are ready. Calls that may not be repeated are held to it while any is.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -53,6 +53,9 @@
 	// ready, and if none is.
 	drainRetryAfter   = 50 * time.Millisecond
 	restartRetryAfter = time.Second
+	// minReadyPerDraining is the number of ready instances for each one that shuts down from
+	// which on the retry of a rejected call is taken to reach a ready one.
+	minReadyPerDraining = 10
 	// killMargin is the time between the end of a graceful shutdown and the end of
 	// the grace period, when the process is killed. All that is left to do then is to end
 	// the calls in flight and to write the log.
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -69,9 +69,11 @@
 	if times == nil {
 		return proxy.Shutdown{}
 	}
+	fleet := i.gossiper.Fleet()
 	state := proxy.Shutdown{
-		CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt,
-		OthersReady: len(i.gossiper.Fleet().Ready) > 0, RetryAfter: restartRetryAfter,
+		CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt, RetryAfter: restartRetryAfter,
+		OthersReady:    len(fleet.Ready) > 0,
+		NearlyAllReady: len(fleet.Ready) > 0 && len(fleet.Ready) >= minReadyPerDraining*len(fleet.Draining),
 	}
 	if state.OthersReady {
 		state.RetryAfter = drainRetryAfter
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -17,8 +17,9 @@
 	CallersMoveBy time.Time
 	// EndsAt is when the instance aborts the calls in flight.
 	EndsAt time.Time
-	// OthersReady reports whether other instances accept calls.
-	OthersReady bool
+	// OthersReady reports whether other instances accept calls, and NearlyAllReady whether
+	// so many do that the first retry of a rejected call reaches one.
+	OthersReady, NearlyAllReady bool
 	// RetryAfter is the time after which another instance accepts calls.
 	RetryAfter time.Duration
 }
@@ -43,20 +44,20 @@
 	return errShuttingDown.WithRetryAfter(shutdown.RetryAfter)
 }
 
-// mayEndWithin reports whether a call is accepted for which some time is left. While another
-// instance is ready, a rejected call costs its caller little. Without one, callers that have
+// mayEndWithin reports whether a call is accepted for which some time is left. A rejected call
+// costs its caller little if it reaches another instance at once. Otherwise callers that have
 // had no time to learn of another instance may know none, so their calls are accepted if they
 // are likely to end, or if nothing is known of their route.
 func (r *run) mayEndWithin(left time.Duration, estimate estimator.Estimate, shutdown *Shutdown) bool {
 	switch {
 	case !r.call.ArrivedAt.Before(shutdown.CallersMoveBy):
 		return estimate.IsKnown && estimate.Longest <= left
-	case !shutdown.OthersReady:
-		return !estimate.IsKnown || estimate.Likely <= left
-	case r.route.Kind == catalog.NonIdempotent:
+	case shutdown.OthersReady && r.route.Kind == catalog.NonIdempotent:
 		return estimate.HasSamples && estimate.Longest <= left
-	default:
+	case shutdown.NearlyAllReady:
 		return estimate.HasSamples && estimate.Slowest <= left
+	default:
+		return !estimate.IsKnown || estimate.Likely <= left
 	}
 }
 
