Keep a part of the memory of responses for small ones

Sound responses of more than 4 KB could be refused with 502 as too large for the memory that is left, while a few responses without end held all of it (LOST of other clients); only a test has shown it.

Cause: the budget was given to whoever came first, up to 16 MB to one response.

Change: a quarter of the budget is for buffers of up to 64 KB.

Failed before: protocol/buffer, "leave memory to small responses if others do not end".

--- a/protocol/buffer/buffer.go
+++ b/protocol/buffer/buffer.go
@@ -13,6 +13,13 @@
 // MinBytes is the memory that every buffer may use beside the budget.
 const MinBytes = 4 << 10
 
+// Buffers of up to smallBytes have a part of the budget, 1/smallDivisor, for themselves: a few
+// responses without end must not take the memory that most responses need.
+const (
+	smallBytes   = 64 << 10
+	smallDivisor = 4
+)
+
 // Budget is the memory that buffers share. It is safe for concurrent use.
 type Budget struct {
 	capacity int64
@@ -22,9 +29,13 @@
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(capacity int64) *Budget { return &Budget{capacity: capacity} }
 
-// take reports whether the budget has bytes left, and takes them if it has.
-func (b *Budget) take(bytes int64) bool {
-	if b.used.Add(bytes) <= b.capacity {
+// take takes bytes for a buffer that holds others, and reports whether it may.
+func (b *Budget) take(bytes, held int64) bool {
+	limit := b.capacity
+	if held+bytes > smallBytes {
+		limit -= b.capacity / smallDivisor
+	}
+	if b.used.Add(bytes) <= limit {
 		return true
 	}
 	b.used.Add(-bytes)
@@ -77,7 +88,7 @@
 
 func (b *Buffer) grow() error {
 	added := min(cap(b.bytes), b.limit-cap(b.bytes))
-	if added <= 0 || !b.budget.take(int64(added)) {
+	if added <= 0 || !b.budget.take(int64(added), b.taken) {
 		return ErrFull
 	}
 	b.taken += int64(added)
--- a/protocol/buffer/buffer_test.go
+++ b/protocol/buffer/buffer_test.go
@@ -45,6 +45,18 @@
 		Expect(string(small.Bytes())).To(Equal("sound"))
 	})
 
+	// Guards against sound responses that find no memory because of a few that do not end.
+	It("leave memory to small responses if others do not end", func() {
+		shared := buffer.NewBudget(4 << 20)
+		for range 8 {
+			b := buffer.New(shared, 16<<20)
+			Expect(b.ReadAll(&endless{})).To(MatchError(buffer.ErrFull))
+			DeferCleanup(b.Release)
+		}
+		sound := buffer.New(shared, 1<<20)
+		Expect(sound.ReadAll(strings.NewReader(strings.Repeat("x", 20<<10)))).To(Succeed())
+	})
+
 	It("give the memory back", func() {
 		shared := buffer.NewBudget(budget)
 		for range 20 {
