Let the soak test draw more kinds of repeated refusals

Engines of the soak send refusals again without the request ID, and some milliseconds later whatever the connection is used for then; and they refuse requests that they have executed. The checks true_refusals and at_most_once are unchanged.

--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -129,6 +129,7 @@
 	choices := []platformtest.Behaviour{
 		platformtest.Reject, platformtest.Crash, platformtest.ResetMidStream, platformtest.ServerError, platformtest.WrongRequestID, platformtest.Hang,
 		platformtest.RejectTwice, platformtest.RejectTwice, platformtest.RejectTwice, platformtest.ResetMidStream,
+		platformtest.RejectTwiceWithoutID, platformtest.RejectTwiceWithoutID, platformtest.RejectTwiceAnytime, platformtest.RejectTwiceAnytime, platformtest.RefuseExecuted,
 	}
 	index := int(draw / probability)
 	switch {
