Do not take the end of a killed upstream for the end of its response

What callers saw: an upstream that was killed while it sent a response with neither a length nor chunks left a part of it that looked complete.

Cause: the end of the connection is the end of such a response. A killed process ends its connections in the same way, without a reset.

Change: before such a response counts as complete, the upstream is asked whether it still runs. If nothing listens on its address, or another process does, the response was broken off. It costs one question for each response of this kind, and none for others. An upstream that ends within that question after a whole response is taken for one that broke off. A connection that ends early while its process goes on cannot be told from a whole response.

--- a/integration/hosted_framing_test.go
+++ b/integration/hosted_framing_test.go
@@ -1,7 +1,10 @@
 package integration_test
 
 import (
+	"fmt"
+	"slices"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -63,6 +66,13 @@
 		Expect(f.sendTo(1, stockRequest()).Status).To(Equal(502))
 	})
 
+	// Guards against a part of a response that looks complete because its upstream was killed.
+	It("are not forwarded when their upstream has ended", func() {
+		f := startPlain(serve)
+		f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.EndEngine })
+		Expect(f.send(orderRequest()).Status).To(Equal(502))
+	})
+
 	// Guards against a stream that breaks off and reaches the caller as complete.
 	DescribeTable("are streams that were broken off if they end inside an event or before the first one",
 		func(behaviour platformtest.Behaviour) {
@@ -98,4 +108,51 @@
 		takenUp := f.sendTo(1, adviceRequest().WithTakeUp(broken.ID, 1))
 		Expect(takenUp.Status == 200 && takenUp.Complete).To(BeFalse())
 	})
+
+	// Guards against a part of a stream that looks complete because its engine was killed
+	// between two events.
+	It("are streams that were broken off if their engine has ended", func() {
+		f := startHostedFleet(1)
+		for n := range 2 {
+			config := engineConfig(n, true)
+			config.EventInterval = 300 * time.Millisecond
+			f.StartUpstream(config)
+		}
+		f.DeregisterUpstream("i-a")
+		f.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		responses := f.killEngineDuring(adviceRequest(), notesRequest())
+		Expect(responses[0].Complete).To(BeTrue())
+		Expect(responses[0].EventIDs()).To(Equal([]int{1, 2, 3, 4}))
+		Expect(responses[1].EventIDs()).NotTo(BeEmpty())
+		Expect(responses[1].Complete).To(BeFalse())
+	})
 })
+
+// killEngineDuring sends requests one after the other, and kills the engine of each after its
+// first event.
+func (f *hostedFleet) killEngineDuring(requests ...platformtest.Request) []platformtest.Response {
+	GinkgoHelper()
+	responses := make([]platformtest.Response, len(requests))
+	for n, request := range requests {
+		request.ID = fmt.Sprint("killed-", n)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			responses[n] = f.send(request)
+		}()
+		var engine string
+		Eventually(func() string {
+			for id, upstream := range f.Upstreams() {
+				if slices.ContainsFunc(upstream.Executions(), func(e platformtest.Execution) bool { return e.ID == request.ID }) {
+					engine = id
+				}
+			}
+			return engine
+		}).ShouldNot(BeEmpty())
+		time.Sleep(450 * time.Millisecond)
+		f.CrashUpstream(engine)
+		Eventually(done, 5*time.Second).Should(BeClosed())
+	}
+	return responses
+}
--- a/protocol/proxy/crash.go
+++ b/protocol/proxy/crash.go
@@ -24,12 +24,11 @@
 	if r.stream.events == 0 {
 		config.Quarantiner.RecordCrash(r.fingerprint, now)
 	}
-	incarnation := upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)
-	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash || len(r.parts) == 0 || !r.proxy.hasEnded(upstream, incarnation) {
+	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash || len(r.parts) == 0 || !r.proxy.hasEnded(upstream) {
 		return
 	}
 	config.Parts.RecordCrash(quarantiner.Suspicion{
-		Crash: xxhash.Sum64String(incarnation), Request: uint64(r.fingerprint), Parts: r.parts,
+		Crash: xxhash.Sum64String(incarnationOf(upstream)), Request: uint64(r.fingerprint), Parts: r.parts,
 	}, config.Now())
 }
 
@@ -38,8 +37,8 @@
 
 // hasEnded reports whether an incarnation of an upstream has ended. A lost connection
 // does not show it: responses and connections are lost without a crash too.
-func (p *Proxy) hasEnded(upstream *catalog.Upstream, incarnation string) bool {
-	ended, _, _ := p.endChecks.Do(incarnation, func() (any, error) {
+func (p *Proxy) hasEnded(upstream *catalog.Upstream) bool {
+	ended, _, _ := p.endChecks.Do(incarnationOf(upstream), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 		return p.config.HasEnded(ctx, upstream), nil
@@ -47,6 +46,11 @@
 	return ended == true
 }
 
+// incarnationOf returns a text that is unique to an incarnation of an upstream.
+func incarnationOf(upstream *catalog.Upstream) string {
+	return upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)
+}
+
 // quarantineError returns the error of a call whose prompt has a part that was found to
 // crash upstreams while the call waited.
 func (r *run) quarantineError() *rejecter.Error {
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -82,6 +82,9 @@
 	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
 	config := &r.proxy.config
+	if err == nil && response.EndsWithConnection && r.proxy.hasEnded(&reservation.Upstream) {
+		err = errUpstreamEnded
+	}
 	if err != nil {
 		r.record.Cause = err
 		if ctx.Err() != nil {
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -19,6 +19,7 @@
 	idPrefix          = []byte("id:")
 	errTruncatedEvent = errors.New("the stream ended within an event")
 	errEmptyStream    = errors.New("the connection ended before the first event of the response")
+	errUpstreamEnded  = errors.New("the upstream has ended, and its response has neither a length nor chunks that show its end")
 	errEventOrder     = errors.New("the event IDs of the stream do not increase")
 )
 
@@ -97,7 +98,7 @@
 			unsent.Consume(end)
 		}
 		if errors.Is(err, io.EOF) {
-			return r.finishStream(response, unsent.Bytes())
+			return r.finishStream(&reservation.Upstream, response, unsent.Bytes())
 		}
 		if err != nil {
 			return err
@@ -118,17 +119,20 @@
 	}
 }
 
-// finishStream returns an error if a response ended within an event, or before its first one
-// if that may have been a connection that broke off. An upstream that is asked to continue
-// after the last event looks the same; its stream is broken off too, as the other reading
-// would lose events.
-func (r *run) finishStream(response *Response, rest []byte) error {
+// finishStream returns an error if a response ended within an event, or if the end of its
+// connection may not be the end of the response: if the upstream has ended too, or if there
+// was no event. An upstream that is asked to continue after the last event looks the same; its
+// stream is broken off too, as the other reading would lose events.
+func (r *run) finishStream(upstream *catalog.Upstream, response *Response, rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return errTruncatedEvent
 	}
 	if response.EndsWithConnection && r.stream.eventsOfAttempt() == 0 {
 		return errEmptyStream
 	}
+	if response.EndsWithConnection && r.proxy.hasEnded(upstream) {
+		return errUpstreamEnded
+	}
 	if !r.headerSent {
 		r.writeHeader(response)
 	}
