Count the line ends of bytes that are no events

Blank lines without end of an upstream reached its caller until the route's timeout (10 MB in 3 s from a sender that pauses between reads).

Cause: the bytes since the last event with an ID are limited, and the two line ends after each event did not count.

Evidence: protocol/proxy, "are cut off when they consist of blank lines", failed before.

--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -49,6 +49,8 @@
 		response.Body = &endlessBody{ctx: ctx, sender: s, text: strings.Repeat("x", 8192), maxRead: 128}
 	case "trickle":
 		response.Body = &slowStream{ctx: ctx, event: ": %d ", count: 1000}
+	case "blank lines":
+		response.Body = &endlessBody{ctx: ctx, sender: s, text: "\n\n"}
 	case "empty events":
 		response.Body = &endlessBody{ctx: ctx, sender: s, text: strings.Repeat("data: x\n\n", 1024)}
 	default:
@@ -271,6 +273,15 @@
 		Expect(time.Since(startedAt)).To(BeNumerically("<", routeTimeout/2))
 	})
 
+	// Guards against bytes that are no events and reach the caller until the route's timeout.
+	It("are cut off when they consist of blank lines", func() {
+		p := startProxy(&faultySender{})
+		startedAt := time.Now()
+		writer := serve(p, "/stream/short/a", "blank lines")
+		Expect(writer.aborted).To(BeTrue())
+		Expect(time.Since(startedAt)).To(BeNumerically("<", shortTimeout/2), "%d bytes reached the caller", writer.body.Len())
+	})
+
 	It("are cut off soon if a single event arrives in small pieces", func() {
 		p := startProxy(&faultySender{})
 		startedAt := time.Now()
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -184,7 +184,7 @@
 				return events[:length], errEventOrder
 			}
 			p.lastID, p.bytesWithoutID = id, 0
-		} else if p.bytesWithoutID += end; p.bytesWithoutID > maxEventBytes {
+		} else if p.bytesWithoutID += end + len(eventEnd); p.bytesWithoutID > maxEventBytes {
 			return events[:length], errNoEvents
 		}
 		p.events++
