Take memory for a response only if it is left

Cause: the budget added what was asked for and compared afterwards, so that a refused request counted for a moment.

--- a/protocol/buffer/buffer.go
+++ b/protocol/buffer/buffer.go
@@ -35,11 +35,15 @@
 	if held+bytes > smallBytes {
 		limit -= b.capacity / smallDivisor
 	}
-	if b.used.Add(bytes) <= limit {
-		return true
+	for {
+		used := b.used.Load()
+		if used+bytes > limit {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
 	}
-	b.used.Add(-bytes)
-	return false
 }
 
 // Buffer holds the bytes of a response that cannot be forwarded yet. What exceeds MinBytes
--- a/protocol/buffer/buffer_test.go
+++ b/protocol/buffer/buffer_test.go
@@ -78,6 +78,38 @@
 		Expect(buffer.LimitError(nil)).To(Succeed())
 	})
 
+	// Guards against sound responses that fail at the moment when a faulty one asks for more than
+	// is left.
+	It("get memory that is left while another buffer is refused more", func() {
+		shared := buffer.NewBudget(budget)
+		stop, stopped := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(stopped)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				b := buffer.New(shared, 1<<20)
+				_ = b.ReadAll(&endless{})
+				b.Release()
+			}
+		}()
+		DeferCleanup(func() { close(stop); <-stopped })
+		text := strings.Repeat("x", buffer.MinBytes)
+		// The endless response holds 60 KB of 64 KB at most, and these take 4 KB.
+		refused := 0
+		for range 200_000 {
+			b := buffer.New(shared, 2*buffer.MinBytes)
+			if b.ReadAll(strings.NewReader(text)) != nil {
+				refused++
+			}
+			b.Release()
+		}
+		Expect(refused).To(BeZero())
+	})
+
 	It("pass on why a response broke off", func() {
 		b := buffer.New(buffer.NewBudget(budget), 1<<20)
 		Expect(b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF))).To(MatchError(io.ErrUnexpectedEOF))
