Take no more memory for a response than its length

Cause: buffers double whatever length the response names, and all of them together had 32 MB.

Change: a buffer is no larger than the length that the header names, on both surroundings, and the default of calls.max_buffered_bytes is 64 MB.

Responses beyond the memory of all together still get 502.

--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -201,7 +201,7 @@
 		Calls: CallSettings{
 			MaxBodyBytes:     4 << 20,
 			MaxResponseBytes: 16 << 20,
-			MaxBufferedBytes: 32 << 20,
+			MaxBufferedBytes: 64 << 20,
 			MaxStoredBytes:   16 << 10,
 			BodyTimeout:      Duration(10 * time.Second),
 			FirstByteTimeout: Duration(20 * time.Second),
--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -91,4 +92,37 @@
 		Entry("in a body", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n", "x"),
 		Entry("in a header", "HTTP/1.1 200 OK\r\n", "Name: value\r\n"),
 	)
+
+	// Guards against a limit for all responses together that fails sound ones which have run.
+	It("serves large responses of sound upstreams that come at once", func() {
+		const calls, responseBytes = 24, 2 << 20
+		f := startFleet(1)
+		body := strings.Repeat("x", responseBytes)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			_, _ = io.WriteString(w, body[:responseBytes-1])
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(w, body[responseBytes-1:])
+		}))
+		DeferCleanup(server.Close)
+		for _, proxy := range f.upstreamProxies {
+			proxy.SetTarget(server.Listener.Addr().String())
+			proxy.CloseOpenConnections()
+		}
+		time.Sleep(time.Second)
+		var callers sync.WaitGroup
+		statuses := make([]int, calls)
+		for n := range calls {
+			callers.Go(func() {
+				c := caller.New(f.apiKeys["hives"])
+				defer c.Client.CloseIdleConnections()
+				response, _ := c.Complete(context.Background(), f.running()[0].callerAddress, caller.Prompt{Model: "letters", Content: fmt.Sprint("prompt ", n), Tokens: 5})
+				statuses[n] = response.Status
+			})
+		}
+		callers.Wait()
+		peak := peakMemory(f.running()[0].session)
+		Expect(statuses).To(HaveEach(http.StatusOK), "peak %d MB", peak)
+	})
 })
--- a/protocol/buffer/buffer.go
+++ b/protocol/buffer/buffer.go
@@ -4,6 +4,8 @@
 import (
 	"errors"
 	"io"
+	"net/http"
+	"strconv"
 	"sync/atomic"
 )
 
@@ -59,7 +61,18 @@
 // New returns an empty buffer with a maximum size. The budget gets its memory back with
 // Release.
 func New(budget *Budget, limit int) *Buffer {
-	return &Buffer{budget: budget, limit: limit, bytes: make([]byte, 0, MinBytes)}
+	return &Buffer{budget: budget, limit: limit, bytes: make([]byte, 0, min(MinBytes, limit))}
+}
+
+// Limit returns the maximum size of the buffer for a response. It is no more than the response
+// needs if its header names a length.
+func Limit(header http.Header, limit int) int {
+	length, err := strconv.Atoi(header.Get("Content-Length"))
+	if err != nil || length < 0 || length >= limit {
+		return limit
+	}
+	// A full buffer has no room to notice the end of the response.
+	return length + 1
 }
 
 // Bytes returns what the buffer holds. It is valid until the next call.
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -143,9 +143,9 @@
 }
 
 // newBuffer returns a buffer for a response that is not streamed.
-func (e *Executor) newBuffer() *buffer.Buffer {
+func (e *Executor) newBuffer(response *Response) *buffer.Buffer {
 	// A full buffer has no room to notice the end of a response.
-	return buffer.New(e.buffered, int(e.config.MaxResponseBytes)+1)
+	return buffer.New(e.buffered, buffer.Limit(response.Header, int(e.config.MaxResponseBytes)+1))
 }
 
 // readyTimeout is the maximum time that a request waits for the instance to become
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -339,7 +339,7 @@
 }
 
 func (r *modelRun) relayBuffered(ctx context.Context, lease *dispatcher.Lease, response *Response) error {
-	content := r.executor.newBuffer()
+	content := r.executor.newBuffer(response)
 	defer content.Release()
 	err := content.ReadAll(response.Body)
 	if err != nil && !errors.Is(err, buffer.ErrFull) {
--- a/protocol/executor/service.go
+++ b/protocol/executor/service.go
@@ -55,8 +55,8 @@
 		Queue:     "route/" + call.Route.ID,
 		Upstreams: call.Route.Upstreams,
 		Tokens:    1,
-	}, content: e.newBuffer()}
-	defer func() { run.content.Release() }()
+	}}
+	defer run.releaseContent()
 	e.retryBudgets.deposit(identity.Workspace.ID)
 	var result *serviceResponse
 	var err error
@@ -83,10 +83,17 @@
 	// mayHaveRun reports that an upstream may have run the request.
 	mayHaveRun bool
 	lastError  error
-	// content holds the response until the caller has received it.
+	// content holds the response until the caller has received it. It is nil before one
+	// arrives.
 	content *buffer.Buffer
 }
 
+func (r *serviceRun) releaseContent() {
+	if r.content != nil {
+		r.content.Release()
+	}
+}
+
 func (r *serviceRun) tryUpstreams(ctx context.Context) (*serviceResponse, error) {
 	for attempt := 1; ; attempt++ {
 		result, err := r.attempt(ctx)
@@ -159,8 +166,8 @@
 	defer response.Body.Close()
 	r.mayHaveRun = true
 	// An attempt before may have left a part of a response.
-	r.content.Release()
-	r.content = r.executor.newBuffer()
+	r.releaseContent()
+	r.content = r.executor.newBuffer(response)
 	err = r.content.ReadAll(response.Body)
 	if err != nil && !errors.Is(err, buffer.ErrFull) {
 		return nil, r.handleUpstreamError(ctx, lease, err)
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -77,7 +77,7 @@
 
 // writeBuffered reads a whole response and sends it to the caller.
 func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
-	body := buffer.New(r.proxy.buffered, maxResponseBytes)
+	body := buffer.New(r.proxy.buffered, buffer.Limit(response.Header, maxResponseBytes))
 	defer body.Release()
 	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
