Limit the send buffers and the drain of all listeners for callers

And a drain of a listener could take the whole grace period if its server did not accept, so that quotas were not returned.

Change: acceptor limits the send buffers of all listeners and waits 0.5 s at most. Handshakes under way get 20 ms instead of 50, as callers that connect meanwhile lose a second.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -273,7 +273,7 @@
 	var config net.ListenConfig
 	var listeners Listeners
 	var errs [3]error
-	listeners.Callers, errs[0] = acceptor.Listen(ctx, settings.Callers, acceptor.Config{})
+	listeners.Callers, errs[0] = acceptor.Listen(ctx, settings.Callers, net.KeepAliveConfig{})
 	listeners.Peers, errs[1] = config.Listen(ctx, "tcp", settings.Peers)
 	listeners.Operators, errs[2] = config.Listen(ctx, "tcp", settings.Operators)
 	if err := errors.Join(errs[:]...); err != nil {
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -86,9 +86,6 @@
 	maxHeaderBytes = 32 << 10
 	// maxReportedCrashes is the maximum number of crash counts in a heartbeat.
 	maxReportedCrashes = 8
-	// sendBufferBytes limits the memory for a response that its caller does not read. It
-	// allows 25 MB/s to a caller at a distance of 10 ms.
-	sendBufferBytes = 256 << 10
 	// bufferedMemoryDivisor is the inverse of the fraction of the memory that
 	// responses may use, reportMemoryDivisor that of the responses to orders and of
 	// reports, and defaultMemoryMB the memory if the settings give none.
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -144,7 +144,7 @@
 func listenAll(ctx context.Context, servers map[string]*http.Server) (map[*http.Server]net.Listener, error) {
 	listeners := make(map[*http.Server]net.Listener, len(servers))
 	for address, server := range servers {
-		listener, err := acceptor.Listen(ctx, address, acceptor.Config{KeepAlive: tcpKeepAlive, SendBufferBytes: sendBufferBytes})
+		listener, err := acceptor.Listen(ctx, address, tcpKeepAlive)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -125,4 +125,33 @@
 		peak := peakMemory(f.running()[0].session)
 		Expect(statuses).To(HaveEach(http.StatusOK), "peak %d MB", peak)
 	})
+
+	// Guards against a machine whose kernel runs out of memory because of streams without end
+	// that nobody reads.
+	It("keeps its memory while callers do not read streams without end", func() {
+		f := startFleet(1)
+		endless := startEndlessServer("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "data: "+strings.Repeat("x", 1000)+"\n\n")
+		for _, proxy := range f.upstreamProxies {
+			proxy.SetTarget(endless)
+			proxy.CloseOpenConnections()
+		}
+		time.Sleep(time.Second)
+		p := f.running()[0]
+		for n := range 64 {
+			conn, err := net.Dial("tcp", p.callerAddress)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			body := fmt.Sprintf(`{"model":"letters","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"prompt %d"}]}`, n)
+			_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+				f.apiKeys["hives"], len(body), body)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		queues := endlessSite{session: p.session}
+		peak := int64(0)
+		for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			peak = max(peak, queues.queuedMemory())
+		}
+		AddReportEntry("result", fmt.Sprintf("peak of the queues %d MB", peak))
+		Expect(peak).To(BeNumerically("<", maxMemory*30/100))
+	})
 })
--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -16,38 +16,33 @@
 const (
 	// handshakeTime is the time in which a handshake that is under way completes. It is
 	// short, since callers that connect meanwhile wait for their next SYN.
-	handshakeTime = 50 * time.Millisecond
+	handshakeTime = 20 * time.Millisecond
 	// pollInterval is the time between two checks of the accept queue.
 	pollInterval = 2 * time.Millisecond
+	// drainTimeout bounds the wait for a server that accepts too slowly.
+	drainTimeout = 500 * time.Millisecond
 )
 
-// Config configures the connections that a listener accepts.
-type Config struct {
-	// KeepAlive is net's default if it is zero.
-	KeepAlive net.KeepAliveConfig
-	// SendBufferBytes limits the send buffer of each connection. If it is 0, the kernel
-	// chooses the limit.
-	SendBufferBytes int
-}
+// sendBufferBytes limits the memory of the kernel for a response that its caller does not
+// read. It allows 25 MB/s to a caller at a distance of 10 ms.
+const sendBufferBytes = 256 << 10
 
 // Listen opens a listener that can be drained. It does not offer multipath TCP, whose sockets
 // take no filter.
-func Listen(ctx context.Context, address string, config Config) (net.Listener, error) {
-	options := net.ListenConfig{KeepAliveConfig: config.KeepAlive}
-	options.SetMultipathTCP(false)
-	if config.SendBufferBytes > 0 {
+func Listen(ctx context.Context, address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
+	config := net.ListenConfig{
+		KeepAliveConfig: keepAlive,
 		// Accepted connections inherit the limit.
-		options.Control = func(_, _ string, conn syscall.RawConn) error {
-			return dialer.LimitSendBuffer(conn, config.SendBufferBytes)
-		}
+		Control: func(_, _ string, conn syscall.RawConn) error { return dialer.LimitSendBuffer(conn, sendBufferBytes) },
 	}
-	return options.Listen(ctx, "tcp", address)
+	config.SetMultipathTCP(false)
+	return config.Listen(ctx, "tcp", address)
 }
 
 // Drain makes the kernel ignore new connections, and returns once those under way are
 // accepted, so that closing the listener resets none. The server must go on accepting
-// connections until then. An error means that the listener is unchanged, or that the context
-// has ended.
+// connections until then. An error means that the listener is unchanged, or that connections
+// still waited after drainTimeout or at the end of the context.
 func Drain(ctx context.Context, listener net.Listener) error {
 	socket, isSocket := listener.(syscall.Conn)
 	if !isSocket {
@@ -60,6 +55,8 @@
 	if err := ignoreHandshakes(conn); err != nil {
 		return fmt.Errorf("ignore handshakes: %w", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
 	drainedAt := time.Now().Add(handshakeTime)
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
--- a/transport/acceptor/acceptor_linux_test.go
+++ b/transport/acceptor/acceptor_linux_test.go
@@ -58,7 +58,7 @@
 	// Guards against a closing listener that resets connections which wait to be accepted.
 	It("lets every established connection be accepted", func(ctx SpecContext) {
 		for range 5 {
-			listener, err := acceptor.Listen(ctx, "127.0.0.1:0", acceptor.Config{})
+			listener, err := acceptor.Listen(ctx, "127.0.0.1:0", net.KeepAliveConfig{})
 			Expect(err).NotTo(HaveOccurred())
 			go answer(listener)
 			var answered, lost atomic.Int64
