End the writes to callers that do not read at their deadline

Callers that did not read a stream kept their calls, and the engines' slots that these reserve, until they left: 128 unread streams with a timeout of 2 s lasted 4.5 s, and other callers got 503 although no engine worked.

Cause: a write to a caller had no deadline; the end of the call's context does not end it.

Change: the connection's write deadline is that of the call and one second more.

Evidence: integration, "serves other callers after the deadline of streams that nobody reads", failed before (503) and passes.

--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -209,6 +209,37 @@
 		s.expectSound(time.Second)
 	})
 
+	// Guards against callers that do not read and keep the slots of engines that work for them
+	// no more.
+	It("serves other callers after the deadline of streams that nobody reads", func() {
+		s := startEndlessSite()
+		table := s.Table()
+		table.Version, table.TimeoutMs = table.Version+1, 2000
+		s.PutTable(table)
+		config := versionedEngine("i-faulty", "v1")
+		config.Slots = exchanges
+		var isSound atomic.Bool
+		s.StartUpstream(config).SetBehaviour(func(platformtest.Execution) platformtest.Behaviour {
+			if isSound.Load() {
+				return platformtest.Serve
+			}
+			return platformtest.EndlessStream
+		})
+		s.DeregisterUpstream("i-a")
+		s.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		for range 2 * exchanges {
+			startStream(s.callers)
+		}
+		time.Sleep(4 * time.Second)
+		isSound.Store(true)
+		request := notesRequest()
+		request.APIKey = platformtest.APIKey
+		response, err := platformtest.SendWith(context.Background(), s.client, s.callers, request)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Status).To(Equal(http.StatusOK), response.Body)
+	})
+
 	// Guards against a machine that runs out of memory because of reports without end.
 	It("keeps its memory while engines answer reports without end", func() {
 		s := startEndlessSite()
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -134,6 +134,7 @@
 
 func (w *recordingWriter) WriteHeader(status int, _ http.Header) { w.status = status }
 func (w *recordingWriter) Write(p []byte) error                  { w.body.Write(p); return nil }
+func (w *recordingWriter) SetDeadline(time.Time) error           { return nil }
 func (w *recordingWriter) WriteError(err *rejecter.Error)        { w.status, w.err = err.Status, err }
 func (w *recordingWriter) Abort()                                { w.aborted = true }
 
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -177,6 +177,10 @@
 	crashRetryAfter = 30 * time.Second
 )
 
+// writeTimeout is the time after a call's deadline in which its caller must read what is left
+// of the response.
+const writeTimeout = time.Second
+
 // Serve forwards one call and sends the response or an error to its caller.
 func (p *Proxy) Serve(ctx context.Context, call *Call, w ResponseWriter) {
 	ctx, span := tracer.Start(ctx, "call")
@@ -188,6 +192,11 @@
 		r.writeError(apiErr)
 		return
 	}
+	if err := w.SetDeadline(r.deadline.Add(writeTimeout)); err != nil {
+		r.record.CallerLeft, r.record.Cause = true, err
+		w.Abort()
+		return
+	}
 	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
 	defer r.recordDuration()
 	r.tryUpstreams(ctx)
--- a/protocol/proxy/sender.go
+++ b/protocol/proxy/sender.go
@@ -76,6 +76,9 @@
 
 // ResponseWriter sends the response to a caller.
 type ResponseWriter interface {
+	// SetDeadline sets when writes to the caller fail. A caller that does not read would
+	// block them for longer. It returns an error if the caller's connection is closed.
+	SetDeadline(deadline time.Time) error
 	// WriteHeader sends the status and the header.
 	WriteHeader(status int, header http.Header)
 	// Write sends a part of the body without delay.
