--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -130,7 +130,7 @@
 
 	// Guards against streams that break off because the platform repeats SIGTERM within the
 	// grace period, as overlapping rolling restarts do.
-	It("completes its streams when SIGTERM is repeated", func() {
+	It("completes its streams when SIGTERM is repeated, with SIGHUP in between", func() {
 		site := platformtest.NewPlatform()
 		DeferCleanup(site.Close)
 		text, readiness, callers := hostedSettings(site)
@@ -150,6 +150,7 @@
 		for range 3 {
 			session.Signal(syscall.SIGTERM)
 			time.Sleep(300 * time.Millisecond)
+			session.Signal(syscall.SIGHUP)
 		}
 		response := <-responses
 		Expect(response.Complete).To(BeTrue())
