Name the package that bounds the memory of responses by what it does

No change of behavior, but for the memory that responses to orders and reports share: an eighth of the machine's instead of a sixteenth, since the planner may ask 7,500 engines at once and a report of an engine with 64 runs has more than 4 KB (by calculation, not run).

--- a/cmd/crocushollowd/main.go
+++ b/cmd/crocushollowd/main.go
@@ -16,7 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/crocushollow/crocushollow/daemon"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 )
 
 // Exit codes.
@@ -113,7 +113,7 @@
 
 // Write implements io.Writer.
 func (l libraryLog) Write(line []byte) (int, error) {
-	l.logger.Warn().Msg(buffer.LimitText(string(line)))
+	l.logger.Warn().Msg(bounder.LimitText(string(line)))
 	return len(line), nil
 }
 
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -86,11 +86,10 @@
 	maxHeaderBytes = 32 << 10
 	// maxReportedCrashes is the maximum number of crash counts in a heartbeat.
 	maxReportedCrashes = 8
-	// bufferedMemoryDivisor is the inverse of the fraction of the memory that
-	// responses may use, reportMemoryDivisor that of the responses to orders and of
-	// reports, and defaultMemoryMB the memory if the settings give none.
+	// bufferedMemoryDivisor is the inverse of the fraction of the memory that the responses
+	// to calls may use, and of that for responses to orders and reports. defaultMemoryMB is
+	// the memory if the settings give none.
 	bufferedMemoryDivisor = 8
-	reportMemoryDivisor   = 16
 	defaultMemoryMB       = 256
 	// minGroupTTL is the minimum time after which a silent planner leader is
 	// replaced.
--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -12,7 +12,7 @@
 	"github.com/crocushollow/crocushollow/coordination/observer"
 	"github.com/crocushollow/crocushollow/coordination/planner"
 	"github.com/crocushollow/crocushollow/platform"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/proxy"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
@@ -86,7 +86,7 @@
 		MaxIdleConnsPerUpstream: maxIdlePerUpstream,
 	}
 	i.egress = platform.NewEgress(egressConfig)
-	buffered := buffer.NewBudget(i.memory() / reportMemoryDivisor)
+	buffered := bounder.NewBudget(i.memory() / bufferedMemoryDivisor)
 	i.engines = platform.NewEngineClient(i.self.Instance, egressConfig, buffered)
 	egressConfig.IdleTimeout = orderIdleTimeout
 	i.orders = platform.NewEngineClient(i.self.Instance, egressConfig, buffered)
--- a/protocol/buffer/buffer.go
+++ b/protocol/bounder/bounder.go
@@ -1,5 +1,6 @@
-// Package buffer bounds the memory of all responses together that are read into memory.
-package buffer
+// Package bounder bounds the memory of all responses together that are read into memory, and
+// what errors and log lines quote of them.
+package bounder
 
 import (
 	"errors"
@@ -58,9 +59,9 @@
 	taken int64
 }
 
-// New returns an empty buffer with a maximum size. The budget gets its memory back with
+// NewBuffer returns an empty buffer with a maximum size. The budget gets its memory back with
 // Release.
-func New(budget *Budget, limit int) *Buffer {
+func NewBuffer(budget *Budget, limit int) *Buffer {
 	return &Buffer{budget: budget, limit: limit, bytes: make([]byte, 0, min(MinBytes, limit))}
 }
 
--- a/protocol/buffer/buffer_test.go
+++ b/protocol/bounder/bounder_test.go
@@ -1,4 +1,4 @@
-package buffer_test
+package bounder_test
 
 import (
 	"fmt"
@@ -10,12 +10,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 )
 
-func TestBuffer(t *testing.T) {
+func TestBounder(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "buffer")
+	RunSpecs(t, "bounder")
 }
 
 // endless is a response that does not end.
@@ -30,58 +30,58 @@
 	const budget = 64 << 10
 
 	It("hold no more than the budget together, whatever is sent to them", func() {
-		shared := buffer.NewBudget(budget)
+		shared := bounder.NewBudget(budget)
 		delivered := 0
 		for range 20 {
-			b := buffer.New(shared, 1<<20)
+			b := bounder.NewBuffer(shared, 1<<20)
 			source := &endless{}
-			Expect(b.ReadAll(source)).To(MatchError(buffer.ErrFull))
+			Expect(b.ReadAll(source)).To(MatchError(bounder.ErrFull))
 			delivered += source.delivered
 			DeferCleanup(b.Release)
 		}
-		Expect(delivered).To(BeNumerically("<=", budget+20*buffer.MinBytes))
-		small := buffer.New(shared, 1<<20)
+		Expect(delivered).To(BeNumerically("<=", budget+20*bounder.MinBytes))
+		small := bounder.NewBuffer(shared, 1<<20)
 		Expect(small.ReadAll(strings.NewReader("sound"))).To(Succeed())
 		Expect(string(small.Bytes())).To(Equal("sound"))
 	})
 
 	// Guards against sound responses that find no memory because of a few that do not end.
 	It("leave memory to small responses if others do not end", func() {
-		shared := buffer.NewBudget(4 << 20)
+		shared := bounder.NewBudget(4 << 20)
 		for range 8 {
-			b := buffer.New(shared, 16<<20)
-			Expect(b.ReadAll(&endless{})).To(MatchError(buffer.ErrFull))
+			b := bounder.NewBuffer(shared, 16<<20)
+			Expect(b.ReadAll(&endless{})).To(MatchError(bounder.ErrFull))
 			DeferCleanup(b.Release)
 		}
-		sound := buffer.New(shared, 1<<20)
+		sound := bounder.NewBuffer(shared, 1<<20)
 		Expect(sound.ReadAll(strings.NewReader(strings.Repeat("x", 20<<10)))).To(Succeed())
 	})
 
 	It("give the memory back", func() {
-		shared := buffer.NewBudget(budget)
+		shared := bounder.NewBudget(budget)
 		for range 20 {
-			b := buffer.New(shared, 1<<20)
-			Expect(b.ReadAll(&endless{})).To(MatchError(buffer.ErrFull))
+			b := bounder.NewBuffer(shared, 1<<20)
+			Expect(b.ReadAll(&endless{})).To(MatchError(bounder.ErrFull))
 			b.Release()
 		}
 		text := strings.Repeat("x", budget/2)
-		b := buffer.New(shared, 1<<20)
+		b := bounder.NewBuffer(shared, 1<<20)
 		Expect(b.ReadAll(strings.NewReader(text))).To(Succeed())
 		Expect(string(b.Bytes())).To(Equal(text))
 	})
 
 	It("limit errors that quote a response", func() {
-		err := buffer.LimitError(fmt.Errorf("malformed %q: %w", strings.Repeat("\xff", 60_000), io.ErrUnexpectedEOF))
+		err := bounder.LimitError(fmt.Errorf("malformed %q: %w", strings.Repeat("\xff", 60_000), io.ErrUnexpectedEOF))
 		Expect(len(err.Error())).To(BeNumerically("<", 1<<10))
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
-		Expect(buffer.LimitError(io.EOF)).To(BeIdenticalTo(io.EOF))
-		Expect(buffer.LimitError(nil)).To(Succeed())
+		Expect(bounder.LimitError(io.EOF)).To(BeIdenticalTo(io.EOF))
+		Expect(bounder.LimitError(nil)).To(Succeed())
 	})
 
 	// Guards against sound responses that fail at the moment when a faulty one asks for more than
 	// is left.
 	It("get memory that is left while another buffer is refused more", func() {
-		shared := buffer.NewBudget(budget)
+		shared := bounder.NewBudget(budget)
 		stop, stopped := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(stopped)
@@ -91,17 +91,17 @@
 					return
 				default:
 				}
-				b := buffer.New(shared, 1<<20)
+				b := bounder.NewBuffer(shared, 1<<20)
 				_ = b.ReadAll(&endless{})
 				b.Release()
 			}
 		}()
 		DeferCleanup(func() { close(stop); <-stopped })
-		text := strings.Repeat("x", buffer.MinBytes)
+		text := strings.Repeat("x", bounder.MinBytes)
 		// The endless response holds 60 KB of 64 KB at most, and these take 4 KB.
 		refused := 0
 		for range 200_000 {
-			b := buffer.New(shared, 2*buffer.MinBytes)
+			b := bounder.NewBuffer(shared, 2*bounder.MinBytes)
 			if b.ReadAll(strings.NewReader(text)) != nil {
 				refused++
 			}
@@ -111,7 +111,7 @@
 	})
 
 	It("pass on why a response broke off", func() {
-		b := buffer.New(buffer.NewBudget(budget), 1<<20)
+		b := bounder.NewBuffer(bounder.NewBudget(budget), 1<<20)
 		Expect(b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF))).To(MatchError(io.ErrUnexpectedEOF))
 	})
 })
--- a/protocol/buffer/error.go
+++ b/protocol/bounder/error.go
@@ -1,4 +1,4 @@
-package buffer
+package bounder
 
 import "strings"
 
--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -17,7 +17,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/coordination/controller"
 	"github.com/crocushollow/crocushollow/protocol/admitter"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/scheduler"
@@ -119,7 +119,7 @@
 	// MaxResponseBytes is the maximum size of a response that is not streamed.
 	MaxResponseBytes int64
 	// MaxBufferedBytes bounds the memory for all responses together that are not
-	// streamed. Each may use buffer.MinBytes in addition.
+	// streamed. Each may use bounder.MinBytes in addition.
 	MaxBufferedBytes int64
 	// MaxStoredBytes is the maximum size of a response that is stored for
 	// replay to callers that retry.
@@ -131,21 +131,21 @@
 	config       Config
 	retryBudgets *retryBudgets
 	parts        *partTracker
-	buffered     *buffer.Budget
+	buffered     *bounder.Budget
 }
 
 // New returns an executor.
 func New(config Config) *Executor {
 	return &Executor{
 		config: config, retryBudgets: newRetryBudgets(), parts: newPartTracker(config.Logger),
-		buffered: buffer.NewBudget(config.MaxBufferedBytes),
+		buffered: bounder.NewBudget(config.MaxBufferedBytes),
 	}
 }
 
 // newBuffer returns a buffer for a response that is not streamed.
-func (e *Executor) newBuffer(response *Response) *buffer.Buffer {
+func (e *Executor) newBuffer(response *Response) *bounder.Buffer {
 	// A full buffer has no room to notice the end of a response.
-	return buffer.New(e.buffered, buffer.Limit(response.Header, int(e.config.MaxResponseBytes)+1))
+	return bounder.NewBuffer(e.buffered, bounder.Limit(response.Header, int(e.config.MaxResponseBytes)+1))
 }
 
 // readyTimeout is the maximum time that a request waits for the instance to become
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -14,7 +14,7 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/admitter"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/decoder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
@@ -342,7 +342,7 @@
 	content := r.executor.newBuffer(response)
 	defer content.Release()
 	err := content.ReadAll(response.Body)
-	if err != nil && !errors.Is(err, buffer.ErrFull) {
+	if err != nil && !errors.Is(err, bounder.ErrFull) {
 		return r.handleUpstreamError(ctx, lease, err)
 	}
 	if err != nil {
--- a/protocol/executor/service.go
+++ b/protocol/executor/service.go
@@ -11,7 +11,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 )
@@ -85,7 +85,7 @@
 	lastError  error
 	// content holds the response until the caller has received it. It is nil before one
 	// arrives.
-	content *buffer.Buffer
+	content *bounder.Buffer
 }
 
 func (r *serviceRun) releaseContent() {
@@ -169,7 +169,7 @@
 	r.releaseContent()
 	r.content = r.executor.newBuffer(response)
 	err = r.content.ReadAll(response.Body)
-	if err != nil && !errors.Is(err, buffer.ErrFull) {
+	if err != nil && !errors.Is(err, bounder.ErrFull) {
 		return nil, r.handleUpstreamError(ctx, lease, err)
 	}
 	if err != nil {
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -14,7 +14,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
@@ -125,7 +125,7 @@
 	Observer  Observer
 	Now       func() time.Time
 	// MaxBufferedBytes bounds the memory for parts of responses that cannot be
-	// forwarded yet, over all calls together. Each call may use buffer.MinBytes in
+	// forwarded yet, over all calls together. Each call may use bounder.MinBytes in
 	// addition.
 	MaxBufferedBytes int64
 }
@@ -134,14 +134,14 @@
 type Proxy struct {
 	config   Config
 	queue    *queue
-	buffered *buffer.Budget
+	buffered *bounder.Budget
 	// endChecks joins the checks of calls that lost the same upstream.
 	endChecks singleflight.Group
 }
 
 // New returns a proxy. Run starts its queue.
 func New(config Config) *Proxy {
-	return &Proxy{config: config, queue: newQueue(config), buffered: buffer.NewBudget(config.MaxBufferedBytes)}
+	return &Proxy{config: config, queue: newQueue(config), buffered: bounder.NewBudget(config.MaxBufferedBytes)}
 }
 
 // Run assigns upstreams to waiting calls until the context is canceled.
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -8,7 +8,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -77,7 +77,7 @@
 
 // writeBuffered reads a whole response and sends it to the caller.
 func (r *run) writeBuffered(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
-	body := buffer.New(r.proxy.buffered, buffer.Limit(response.Header, maxResponseBytes))
+	body := bounder.NewBuffer(r.proxy.buffered, bounder.Limit(response.Header, maxResponseBytes))
 	defer body.Release()
 	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
@@ -90,7 +90,7 @@
 		if ctx.Err() != nil {
 			return r.handleCancellation(ctx)
 		}
-		if !errors.Is(err, buffer.ErrFull) {
+		if !errors.Is(err, bounder.ErrFull) {
 			r.recordCrash(&reservation.Upstream)
 		}
 		return selector.Unreachable, r.afterFailure()
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/crocushollow/crocushollow/catalog"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -71,7 +71,7 @@
 	if ctx.Err() != nil {
 		return r.handleCancellation(ctx)
 	}
-	isGarbage := errors.Is(err, buffer.ErrFull) || errors.Is(err, errNoEvents)
+	isGarbage := errors.Is(err, bounder.ErrFull) || errors.Is(err, errNoEvents)
 	if !isGarbage {
 		r.recordCrash(&reservation.Upstream)
 	}
@@ -84,7 +84,7 @@
 func (e *callerError) Error() string { return "write to caller: " + e.err.Error() }
 
 func (r *run) copyEvents(reservation *selector.Reservation, response *Response) error {
-	unsent := buffer.New(r.proxy.buffered, maxEventBytes)
+	unsent := bounder.NewBuffer(r.proxy.buffered, maxEventBytes)
 	defer unsent.Release()
 	for {
 		// The end of an event may lie across two reads.
--- a/transport/connector/log.go
+++ b/transport/connector/log.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"github.com/crocushollow/crocushollow/coordination/follower"
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/transport/dialer"
 )
 
@@ -76,7 +76,7 @@
 	response, err := client.Do(request)
 	if err != nil {
 		client.CloseIdleConnections()
-		return buffer.LimitError(err)
+		return bounder.LimitError(err)
 	}
 	defer response.Body.Close()
 	limitedBody := io.LimitReader(response.Body, limit)
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -21,7 +21,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 
-	"github.com/crocushollow/crocushollow/protocol/buffer"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/executor"
 	"github.com/crocushollow/crocushollow/state/scheduler"
 	"github.com/crocushollow/crocushollow/transport/dialer"
@@ -127,7 +127,7 @@
 		watchdog.Stop()
 		err = causeOrErr(ctx, err)
 		cancel(nil)
-		return nil, &executor.SendError{Err: buffer.LimitError(err), MayHaveRun: gotConn.Load()}
+		return nil, &executor.SendError{Err: bounder.LimitError(err), MayHaveRun: gotConn.Load()}
 	}
 	body := &timedBody{body: response.Body, ctx: ctx, cancel: cancel, watchdog: watchdog, timeout: f.config.ChunkTimeout}
 	if echoedID := response.Header.Get(AttemptIDHeader); echoedID != "" && echoedID != attempt.ID.String() {
