Write the log of a rejected call before its caller gets the error

The error is flushed by the server again, and only the end of the grace period waits 20 ms for that.

--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -58,6 +58,8 @@
 	if err := i.calls.close(ctx); err != nil {
 		i.logger.Warn().Err(err).Msg("calls have not ended")
 	}
+	// The server flushes a response after its call has ended.
+	time.Sleep(idlePollInterval)
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
