--- a/integration/endless_test.go
+++ b/integration/endless_test.go
@@ -58,7 +58,7 @@
 	return kilobytes >> 10
 }
 
-var _ = Describe("an instance whose upstreams answer without end", func() {
+var _ = Describe("an instance whose upstreams answer without end", Label("memory"), func() {
 	// maxMemory is the memory of a small machine in MB.
 	const maxMemory = 284
 
--- a/integration/hosted_endless_test.go
+++ b/integration/hosted_endless_test.go
@@ -99,7 +99,7 @@
 	Expect(peak).To(BeNumerically("<", smallMachine*70/100))
 }
 
-var _ = Describe("An instance on a small machine", func() {
+var _ = Describe("An instance on a small machine", Label("memory"), func() {
 	const exchanges = 64
 
 	// Guards against a machine that runs out of memory because of an engine whose responses
