Accept early calls of unknown routes in a planned stop

Streams that crossed the SIGTERM to an instance with nothing served on their route yet were rejected, though nearly the whole grace period was left for them.

Cause: a route without evidence was taken for one whose calls take too long.

Change: in the first quarter of the grace period calls are accepted of whose route little is known, unless they may not be repeated.

Two new entries of the table in protocol/proxy failed before.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -60,6 +60,9 @@
 	// the grace period, when the process is killed. All that is left to do then is to end
 	// the calls in flight and to write the log.
 	killMargin = 150 * time.Millisecond
+	// earlyDivisor is the inverse of the fraction of the grace period in which calls are
+	// accepted of whose route little is known.
+	earlyDivisor = 4
 	// abortTimeout bounds the wait for aborted calls to end.
 	abortTimeout = 100 * time.Millisecond
 	// leaseMargin covers the network latency of an order.
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -18,10 +18,13 @@
 // last are rejected for lingerTime: http.Server.Shutdown would drop them.
 func (i *Instance) shutDown(ctx context.Context, listener net.Listener) {
 	now := time.Now()
-	endsAt := now.Add(time.Duration(i.bounds.Load().Grace) - killMargin)
+	grace := time.Duration(i.bounds.Load().Grace)
+	endsAt := now.Add(grace - killMargin)
 	ctx, cancel := context.WithDeadline(ctx, endsAt)
 	defer cancel()
-	i.shutdown.Store(&shutdownTimes{callersMoveBy: now.Add(addressLifetime), endsAt: endsAt})
+	i.shutdown.Store(&shutdownTimes{
+		callersMoveBy: now.Add(addressLifetime), earlyUntil: now.Add(grace / earlyDivisor), endsAt: endsAt,
+	})
 	i.draining.Store(true)
 	i.logger.Info().Msg("shutdown begins")
 	i.gossiper.Broadcast(i.buildHeartbeat())
@@ -63,7 +66,7 @@
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
-type shutdownTimes struct{ callersMoveBy, endsAt time.Time }
+type shutdownTimes struct{ callersMoveBy, earlyUntil, endsAt time.Time }
 
 // shutdownState implements proxy.Config.Shutdown.
 func (i *Instance) shutdownState() proxy.Shutdown {
@@ -73,7 +76,8 @@
 	}
 	fleet := i.gossiper.Fleet()
 	state := proxy.Shutdown{
-		CallersMoveBy: times.callersMoveBy, EndsAt: times.endsAt, RetryAfter: restartRetryAfter,
+		CallersMoveBy: times.callersMoveBy, EarlyUntil: times.earlyUntil, EndsAt: times.endsAt,
+		RetryAfter:     restartRetryAfter,
 		OthersReady:    len(fleet.Ready) > 0,
 		NearlyAllReady: len(fleet.Ready) > 0 && len(fleet.Ready) >= minReadyPerDraining*len(fleet.Draining),
 	}
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -17,6 +17,9 @@
 	CallersMoveBy time.Time
 	// EndsAt is when the instance aborts the calls in flight.
 	EndsAt time.Time
+	// EarlyUntil is the time until which so much is left that calls are accepted of whose
+	// route little is known.
+	EarlyUntil time.Time
 	// OthersReady reports whether other instances accept calls, and NearlyAllReady whether
 	// so many do that the first retry of a rejected call reaches one.
 	OthersReady, NearlyAllReady bool
@@ -55,7 +58,8 @@
 	case shutdown.OthersReady && r.route.Kind == catalog.NonIdempotent:
 		return estimate.HasSamples && estimate.Longest <= left
 	case shutdown.NearlyAllReady:
-		return estimate.HasSamples && estimate.Slowest <= left
+		isEarly := !estimate.IsKnown && r.call.ArrivedAt.Before(shutdown.EarlyUntil)
+		return isEarly || estimate.HasSamples && estimate.Slowest <= left
 	default:
 		return !estimate.IsKnown || estimate.Likely <= left
 	}
--- a/protocol/proxy/shutdown_test.go
+++ b/protocol/proxy/shutdown_test.go
@@ -42,6 +42,8 @@
 		return durations
 	}
 	allReady := proxy.Shutdown{OthersReady: true, NearlyAllReady: true}
+	allReadyEarly := allReady
+	allReadyEarly.EarlyUntil = time.Now().Add(time.Hour)
 	someReady := proxy.Shutdown{OthersReady: true}
 	noneReady := proxy.Shutdown{}
 	const accepted, rejected = http.StatusOK, http.StatusServiceUnavailable
@@ -57,6 +59,9 @@
 		Entry("some slow", allReady, false, mixed(6*time.Second), rejected, rejected),
 		Entry("some nearly slow", allReady, false, mixed(4500*time.Millisecond), rejected, accepted),
 		Entry("none served", allReady, false, nil, rejected, rejected),
+		Entry("none served, early", allReadyEarly, false, nil, rejected, accepted),
+		Entry("few, early", allReadyEarly, false, []time.Duration{time.Second}, rejected, accepted),
+		Entry("some slow, early", allReadyEarly, false, mixed(6*time.Second), rejected, rejected),
 		Entry("few and short", allReady, false, []time.Duration{100 * time.Millisecond}, accepted, accepted),
 		Entry("few", allReady, false, []time.Duration{time.Second}, rejected, rejected),
 		Entry("some slow, others stop too", someReady, false, mixed(6*time.Second), rejected, accepted),
