Give up streams without data events on the own surroundings

A caller got comments or blank lines without end from a faulty engine, until it left.

Cause: an event had a maximum size, and what is no data event had none.

Evidence: protocol/relayer, "gives up a stream without data events": the relay did not end with that error before the 16 MB of its source (the error did not exist); now after 1 MB, both entries.

--- a/protocol/relayer/relayer.go
+++ b/protocol/relayer/relayer.go
@@ -15,6 +15,8 @@
 	ErrTruncated = errors.New("stream ended before its final event")
 	// ErrEventTooLarge reports an event larger than maxEventBytes.
 	ErrEventTooLarge = errors.New("event too large")
+	// ErrNoEvents reports maxEventBytes without a data event.
+	ErrNoEvents = errors.New("stream without data events")
 )
 
 // CallerError reports that a write to the caller failed.
@@ -66,6 +68,8 @@
 	buffer []byte
 	// start and end delimit the bytes that were read but not sent yet.
 	start, end int
+	// bytesWithoutData is the number of bytes since the last data event.
+	bytesWithoutData int
 }
 
 // New returns a relay.
@@ -81,7 +85,7 @@
 // Run forwards a stream until its final event. A *CallerError reports that a write to
 // the caller failed. Any other error comes from the upstream.
 func (r *Relay) Run(upstream io.Reader, caller Writer, progress *Progress) error {
-	r.start, r.end = 0, 0
+	r.start, r.end, r.bytesWithoutData = 0, 0, 0
 	for {
 		if err := r.writeEvents(caller, progress); err != nil || progress.Done {
 			return err
@@ -125,9 +129,12 @@
 		if size < 0 {
 			break
 		}
-		recordEvent(unsent[length:length+size], progress)
+		r.recordEvent(unsent[length:length+size], progress)
 		length += size + len(eventEnd)
 	}
+	if r.bytesWithoutData > maxEventBytes {
+		return ErrNoEvents
+	}
 	if length == 0 {
 		return nil
 	}
@@ -141,14 +148,16 @@
 	return nil
 }
 
-func recordEvent(event []byte, progress *Progress) {
+func (r *Relay) recordEvent(event []byte, progress *Progress) {
 	switch {
 	case bytes.Equal(event, doneEvent):
 		progress.Done = true
 		return
 	case !bytes.HasPrefix(event, dataPrefix):
+		r.bytesWithoutData += len(event) + len(eventEnd)
 		return
 	}
+	r.bytesWithoutData = 0
 	progress.Events++
 	if bytes.Contains(event, usageField) {
 		if usage, found := ParseUsage(event[len(dataPrefix):]); found {
--- a/protocol/relayer/relayer_test.go
+++ b/protocol/relayer/relayer_test.go
@@ -32,6 +32,17 @@
 	return c.Buffer.Write(p)
 }
 
+// endless repeats a text without end.
+type endless string
+
+func (e endless) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(e) <= len(p) {
+		n += copy(p[n:], e)
+	}
+	return n, nil
+}
+
 func (c *caller) Flush() error { c.flushes++; return nil }
 
 const (
@@ -69,6 +80,15 @@
 		Expect(errors.As(relayer.New().Run(strings.NewReader(events), out, &progress), &callerErr)).To(BeTrue())
 	})
 
+	// Guards against bytes that are no events and reach the caller without end.
+	DescribeTable("gives up a stream without data events", func(text string) {
+		upstream := io.LimitReader(endless(text), 16<<20)
+		Expect(relayer.New().Run(upstream, &caller{}, &relayer.Progress{})).To(MatchError(relayer.ErrNoEvents))
+	},
+		Entry("comments", ": x\n\n"),
+		Entry("blank lines", "\n\n"),
+	)
+
 	It("limits the size of an event", func() {
 		endless := io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", 2<<20)))
 		Expect(relayer.New().Run(endless, out, &progress)).To(MatchError(relayer.ErrEventTooLarge))
