--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -54,6 +54,9 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// IsIdentified means that the response names the attempt. Another one may be a late copy
+	// of a response to an earlier attempt.
+	IsIdentified bool
 	// Incarnation identifies the engine's process. It is empty for services.
 	Incarnation string
 	// Body returns an error if the upstream sends no data for too long.
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -275,6 +275,9 @@
 	}
 	defer response.Body.Close()
 	r.executor.config.Health.RecordResponse(lease.Upstream.ID, response.Incarnation)
+	if !response.IsIdentified {
+		r.mayHaveRun = true
+	}
 	if response.Status == http.StatusNotFound {
 		r.executor.config.Dispatcher.RecordAbsence(lease)
 		r.executor.config.Logger.Warn().Str("upstream", lease.Upstream.ID).Str("model", r.call.Model).Msg("engine has lost the weights")
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -130,16 +130,19 @@
 		return nil, &executor.SendError{Err: bounder.LimitError(err), MayHaveRun: gotConn.Load()}
 	}
 	body := &timedBody{body: response.Body, ctx: ctx, cancel: cancel, watchdog: watchdog, timeout: f.config.ChunkTimeout}
-	if echoedID := response.Header.Get(AttemptIDHeader); echoedID != "" && echoedID != attempt.ID.String() {
+	echoedID := response.Header.Get(AttemptIDHeader)
+	isIdentified := echoedID == attempt.ID.String()
+	if echoedID != "" && !isIdentified {
 		_ = body.Close()
 		return nil, &executor.SendError{Err: ErrAttemptMismatch, MayHaveRun: true}
 	}
 	watchdog.Reset(f.config.ChunkTimeout)
 	return &executor.Response{
-		Status:      response.StatusCode,
-		Header:      response.Header,
-		Incarnation: response.Header.Get(IncarnationHeader),
-		Body:        body,
+		Status:       response.StatusCode,
+		Header:       response.Header,
+		IsIdentified: isIdentified,
+		Incarnation:  response.Header.Get(IncarnationHeader),
+		Body:         body,
 	}, nil
 }
 
