--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -65,6 +65,8 @@
 	earlyDivisor = 4
 	// abortTimeout bounds the wait for aborted calls to end.
 	abortTimeout = 100 * time.Millisecond
+	// flushTime is the time from the end of a call until its response is flushed.
+	flushTime = 20 * time.Millisecond
 	// leaseMargin covers the network latency of an order.
 	leaseMargin = 150 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to an upstream. It is many
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -111,7 +111,7 @@
 	if record.Cause != nil {
 		line.AnErr("cause", record.Cause)
 	}
-	line.Str("response", record.End()).Bool("caller_left", record.CallerLeft).Msg("call ended")
+	line.Stringer("response", record.End).Bool("caller_left", record.End == proxy.CallerLeft).Msg("call ended")
 }
 
 // callOutcome returns the outcome of a call: served, refused by the proxy, or broken
@@ -120,7 +120,7 @@
 	switch {
 	case record.Error != nil:
 		return "refused"
-	case record.End() != "complete" || record.Status >= http.StatusInternalServerError:
+	case record.End != proxy.Complete || record.Status >= http.StatusInternalServerError:
 		return "broken"
 	}
 	return "served"
@@ -132,8 +132,8 @@
 	switch {
 	case record.Error != nil:
 		reason = string(record.Error.Code)
-	case record.End() != "complete":
-		reason = record.End()
+	case record.End != proxy.Complete:
+		reason = record.End.String()
 	}
 	if record.Route != nil {
 		routeKind = record.Route.Kind
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -62,7 +62,7 @@
 		i.logger.Warn().Err(err).Msg("calls have not ended")
 	}
 	// The server flushes a response after its call has ended.
-	time.Sleep(idlePollInterval)
+	time.Sleep(flushTime)
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -75,26 +75,29 @@
 	QuotaState *allotter.LimitState
 	// Cause is the last failure.
 	Cause error
-	// Aborted reports that the response was aborted before its end.
-	Aborted bool
-	// CallerLeft reports that the caller disconnected.
-	CallerLeft bool
-	// CutByShutdown reports that the instance closed the caller's connection at the end of
-	// its shutdown.
-	CutByShutdown bool
+	// End is how the response ended.
+	End ResponseEnd
 }
 
-// End names how the response ended.
-func (r *CallRecord) End() string {
-	switch {
-	case r.CutByShutdown:
-		return "cut_by_shutdown"
-	case r.CallerLeft:
-		return "caller_left"
-	case r.Aborted:
-		return "aborted"
-	}
-	return "complete"
+// ResponseEnd is how a response ended.
+type ResponseEnd int
+
+// The ends of responses.
+const (
+	// Complete means that the whole response was sent.
+	Complete ResponseEnd = iota
+	// Aborted means that the response was aborted before its end.
+	Aborted
+	// CallerLeft means that the caller disconnected.
+	CallerLeft
+	// CutByShutdown means that the response was aborted at the end of the instance's
+	// shutdown.
+	CutByShutdown
+)
+
+// String implements fmt.Stringer.
+func (e ResponseEnd) String() string {
+	return [...]string{"complete", "aborted", "caller_left", "cut_by_shutdown"}[e]
 }
 
 // Config configures a Proxy. All fields are required.
@@ -193,14 +196,14 @@
 		return
 	}
 	if err := w.SetDeadline(r.deadline.Add(writeTimeout)); err != nil {
-		r.record.CallerLeft, r.record.Cause = true, err
+		r.record.End, r.record.Cause = CallerLeft, err
 		w.Abort()
 		return
 	}
 	r.running = p.config.Estimator.Begin(r.estimatedRequest(), p.config.Now())
 	defer r.recordDuration()
 	r.tryUpstreams(ctx)
-	if r.record.CallerLeft {
+	if r.record.End == CallerLeft {
 		// A caller that has closed its side of the connection only must not take what it
 		// has received for a complete response.
 		r.writer.Abort()
--- a/protocol/proxy/record_test.go
+++ b/protocol/proxy/record_test.go
@@ -22,7 +22,7 @@
 var _ = Describe("The record of a call whose request is canceled", func() {
 	// Guards against logs that blame the callers for streams that a shutdown has cut.
 	DescribeTable("tells the end of a shutdown from a caller that left",
-		func(cause error, end string) {
+		func(cause error, end proxy.ResponseEnd) {
 			record := &lastRecord{}
 			p := startProxy(&faultySender{}, func(config *proxy.Config) { config.Observer = record })
 			ctx, cancel := context.WithCancelCause(context.Background())
@@ -32,10 +32,10 @@
 				ID: "canceled", Host: "h", Path: "/stream/short/a", Target: "/stream/short/a",
 				Header: http.Header{"Fault": {"slow"}}, ArrivedAt: time.Now(),
 			}, writer)
-			Expect(record.End()).To(Equal(end))
+			Expect(record.End).To(Equal(end))
 			Expect(writer.aborted).To(BeTrue())
 		},
-		Entry("by the end of the shutdown", proxy.ErrStopped, "cut_by_shutdown"),
-		Entry("by its caller", context.Canceled, "caller_left"),
+		Entry("by the end of the shutdown", proxy.ErrStopped, proxy.CutByShutdown),
+		Entry("by its caller", context.Canceled, proxy.CallerLeft),
 	)
 })
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -108,7 +108,7 @@
 	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
 	if err := r.writer.Write(body.Bytes()); err != nil {
-		r.record.CallerLeft = true
+		r.record.End = CallerLeft
 		return selector.Served, callerLeft
 	}
 	if response.Status >= http.StatusInternalServerError {
@@ -139,12 +139,14 @@
 		apiErr = r.cancellationError(context.Cause(ctx))
 	}
 	if apiErr == nil {
-		r.record.CallerLeft = true
+		r.record.End = CallerLeft
 		return
 	}
 	if r.headerSent {
-		r.record.Aborted = true
-		r.record.CutByShutdown = errors.Is(context.Cause(ctx), ErrStopped)
+		r.record.End = Aborted
+		if errors.Is(context.Cause(ctx), ErrStopped) {
+			r.record.End = CutByShutdown
+		}
 		r.writer.Abort()
 		return
 	}
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -269,7 +269,7 @@
 	case errors.Is(cause, ErrStopped):
 		return selector.Abandoned, failed
 	}
-	r.record.CallerLeft = true
+	r.record.End = CallerLeft
 	return selector.Abandoned, callerLeft
 }
 
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -72,7 +72,7 @@
 // recordDuration records how long the call took if it was served.
 func (r *run) recordDuration() {
 	record := &r.record
-	if record.Status != http.StatusOK || record.End() != "complete" {
+	if record.Status != http.StatusOK || record.End != Complete {
 		r.running.Failed()
 		return
 	}
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -64,7 +64,7 @@
 		}
 		return selector.Served, finished
 	case errors.As(err, &callerErr):
-		r.record.CallerLeft = true
+		r.record.End = CallerLeft
 		return selector.Abandoned, callerLeft
 	}
 	r.record.Cause = err
