Send trials to an engine that has failed, not all that waits

Cause: when a backoff of at most 1.2 s ended, the calls that waited were sent to the engine at once, before the first of them had failed.

Change: after three failures in a row an engine gets one request at a time, and twice as many after each response. The backoff grows up to 2.4 s while another engine could serve the request. Log lines, counters and a gauge tell of ejections and releases.

Evidence: 60 requests a second for 11 s.

--- a/daemon/hosted/ratelimits_test.go
+++ b/daemon/hosted/ratelimits_test.go
@@ -54,9 +54,9 @@
 	f.partition(func(int) int { return 0 })
 	for n := range size {
 		s := selector.New(selector.Config{
-			OnLoadChange: func() { f.hasChanges[n] = true },
-			RandFloat64:  f.random.Float64,
-			RateLimit:    func(*catalog.Upstream) throttler.Limit { return f.limit },
+			OnLoadChange: func() { f.hasChanges[n] = true }, OnHealthChange: func(selector.HealthChange) {},
+			RandFloat64: f.random.Float64,
+			RateLimit:   func(*catalog.Upstream) throttler.Limit { return f.limit },
 			QuotaShare: func(upstream string, requests int) selector.QuotaShare {
 				return divideQuota(f.names[n], f.views[n], upstream, requests)
 			},
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -10,6 +10,7 @@
 
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/protocol/proxy"
+	"github.com/crocushollow/crocushollow/state/selector"
 )
 
 // Limits of log lines per logLimitPeriod, by kind. Lines beyond a limit are counted
@@ -156,6 +157,20 @@
 		AnErr("cause", record.Cause).Msg("attempt ended")
 }
 
+// HealthChanged records that an upstream was ejected, or that its trials have ended.
+func (r *reporter) HealthChanged(change selector.HealthChange) {
+	if !change.IsEjected {
+		r.set.GetOrCreateCounter(`crocushollow_upstream_releases_total`).Inc()
+		r.logger.Info().Str("upstream", change.Upstream).Msg("upstream released")
+		return
+	}
+	r.set.GetOrCreateCounter(`crocushollow_upstream_ejections_total`).Inc()
+	if r.allowLine("attempt") {
+		r.logger.Warn().Str("upstream", change.Upstream).Int("failures", change.Failures).
+			Dur("backoff", change.Backoff).Msg("upstream ejected")
+	}
+}
+
 // RateLimitInvalid implements proxy.Observer.
 func (r *reporter) RateLimitInvalid(upstream string, err error) {
 	if r.allowLine("attempt") {
--- a/daemon/hosted/site_test.go
+++ b/daemon/hosted/site_test.go
@@ -28,7 +28,7 @@
 		{"upstreams only", observer.View{UpstreamsReadAt: readAt}, false},
 		{"both", observer.View{Catalog: table, OperatorsReadAt: readAt, UpstreamsReadAt: readAt}, true},
 	} {
-		choices := selector.New(selector.Config{OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
+		choices := selector.New(selector.Config{OnLoadChange: func() {}, OnHealthChange: func(selector.HealthChange) {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 		site := newSiteTracker(choices, time.Now)
 		site.onChange = func() {}
 		site.setView(&c.view)
--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -28,6 +28,7 @@
 		AvailabilityZone: i.self.AvailabilityZone,
 		ColdRateShare:    i.coldRateShare,
 		OnLoadChange:     func() { signal(i.loadChanged) },
+		OnHealthChange:   i.reporter.HealthChanged,
 		RateLimit:        i.throttler.Limit,
 		QuotaShare:       i.quotaShare,
 		IsPinnable:       i.isPinnable,
@@ -170,6 +171,7 @@
 		"crocushollow_pinned_streams":    func() float64 { return float64(i.origins.pinner.Len()) },
 		"crocushollow_store_era":         func() float64 { return float64(store.Era()) },
 		"crocushollow_limited_upstreams": func() float64 { return float64(i.throttler.ActiveLimits()) },
+		"crocushollow_ejected_upstreams": func() float64 { return float64(i.selector.EjectedUpstreams()) },
 		"crocushollow_planning_fence":    func() float64 { return float64(i.elector.LeaderToken()) },
 	}
 	for name, read := range gauges {
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -186,7 +186,7 @@
 		id := fmt.Sprint("i-", i)
 		upstreams[id] = &catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 4, StartUnixMilli: 1, SoftwareVersion: "v1"}
 	}
-	choices := selector.New(selector.Config{IsPinnable: func(string, catalog.SoftwareVersion) bool { return true }, ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
+	choices := selector.New(selector.Config{IsPinnable: func(string, catalog.SoftwareVersion) bool { return true }, ColdRateShare: func(*catalog.Service, string) int { return 1 }, OnLoadChange: func() {}, OnHealthChange: func(selector.HealthChange) {}, RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} }})
 	choices.SetTopology(selector.Topology{Catalog: table, Upstreams: upstreams})
 	config := proxy.Config{
 		Catalog: func() *catalog.Catalog { return table }, Selector: choices,
--- a/state/selector/health.go
+++ b/state/selector/health.go
@@ -29,10 +29,19 @@
 	maxPenaltyMillis = 4000.0
 	// penaltyHalfLife is the time in which the penalty halves.
 	penaltyHalfLife = 1500 * time.Millisecond
-	// initialBackoff is the backoff after the first failure to reach an
-	// upstream. It doubles with each further failure up to maxBackoff.
+	// initialBackoff is the backoff after the first failure to reach an upstream. It
+	// doubles with each further one up to maxBackoff, or up to maxEjection while other
+	// upstreams can serve the request.
 	initialBackoff = 150 * time.Millisecond
 	maxBackoff     = 1200 * time.Millisecond
+	maxEjection    = 2400 * time.Millisecond
+	// maxBackoffDoublings bounds the doublings of initialBackoff.
+	maxBackoffDoublings = 8
+	// minFailuresForTrials is the number of consecutive failures from which on an upstream
+	// gets trials. Fewer may be the fault of a request or of a connection.
+	minFailuresForTrials = 3
+	// maxTrials is the number of trials at a time beyond which there is no limit.
+	maxTrials = 32
 	// refusalBackoff is the backoff after an upstream refuses a request.
 	refusalBackoff = 30 * time.Millisecond
 )
@@ -44,7 +53,15 @@
 	decayedAt         time.Time
 	// unreachableCount counts consecutive failures to reach the upstream.
 	unreachableCount int
-	backoffUntil     time.Time
+	// backoffCount counts the backoffs since the upstream has last served a request.
+	backoffCount int
+	// backoffUntil is when the upstream may be chosen again, and ejectedUntil when it may be
+	// although another one could serve the request.
+	backoffUntil, ejectedUntil time.Time
+	// trialLimit bounds the requests that have no response yet. It is 0 if there is no limit.
+	trialLimit int
+	// trials counts the requests without a response that began under a limit.
+	trials int
 }
 
 // penaltyMillis applies the decay since the last call and returns the latency
@@ -66,21 +83,87 @@
 
 func (h *health) inBackoff(now time.Time) bool { return now.Before(h.backoffUntil) }
 
-// recordOutcome updates the health with the outcome of a request.
-func (h *health) recordOutcome(outcome Outcome, now time.Time) {
+func (h *health) isEjected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+
+// allowsTrial reports whether the upstream may get one more request. One that has failed
+// repeatedly gets one at a time, and twice as many after each response.
+func (h *health) allowsTrial() bool { return h.trialLimit == 0 || h.trials < h.trialLimit }
+
+// beginTrial records the begin of a request and reports whether it is a trial, which must be
+// ended once.
+func (h *health) beginTrial() bool {
+	if h.trialLimit == 0 {
+		return false
+	}
+	h.trials++
+	return true
+}
+
+// endTrial records the end of a trial, or its response. It reports whether the upstream has
+// no limit any more.
+func (h *health) endTrial(hasResponse bool) bool {
+	h.trials--
+	if hasResponse && h.trialLimit > 0 {
+		h.trialLimit *= 2
+	}
+	if h.trialLimit <= maxTrials {
+		return false
+	}
+	h.trialLimit = 0
+	return true
+}
+
+// HealthChange is the ejection of an upstream that has failed repeatedly, or the end of the
+// trials that follow it.
+type HealthChange struct {
+	Upstream  string
+	IsEjected bool
+	// Failures is the number of consecutive failures, and Backoff the time without requests.
+	// Both are 0 at the end of the trials.
+	Failures int
+	Backoff  time.Duration
+}
+
+// recordOutcome updates the health with the outcome of a request. It reports whether the
+// upstream is ejected for it.
+func (h *health) recordOutcome(outcome Outcome, now time.Time) bool {
 	switch outcome {
 	case Served:
-		h.unreachableCount = 0
+		h.unreachableCount, h.backoffCount = 0, 0
 		h.lastPenaltyMillis = h.penaltyMillis(now) / 2
 	case Abandoned:
 	case Refused:
-		h.backoffUntil = now.Add(refusalBackoff)
+		h.extendBackoff(now.Add(refusalBackoff))
 	case Failed:
 		h.addPenalty(now)
 	case Unreachable:
 		h.addPenalty(now)
-		h.backoffUntil = now.Add(min(initialBackoff<<min(h.unreachableCount, 4), maxBackoff))
-		h.unreachableCount++
+		return h.recordUnreachable(now)
+	}
+	return false
+}
+
+// recordUnreachable begins a backoff. Requests that were sent before the current one began
+// count as failures, and do not extend it. It reports whether an ejection begins.
+func (h *health) recordUnreachable(now time.Time) bool {
+	h.unreachableCount++
+	isNew := h.trialLimit == 0
+	if h.unreachableCount >= minFailuresForTrials {
+		h.trialLimit = 1
+	}
+	if h.isEjected(now) {
+		return isNew && h.trialLimit > 0
+	}
+	backoff := initialBackoff << min(h.backoffCount, maxBackoffDoublings)
+	h.backoffCount++
+	h.ejectedUntil = now.Add(min(backoff, maxEjection))
+	h.extendBackoff(now.Add(min(backoff, maxBackoff)))
+	return h.trialLimit > 0
+}
+
+func (h *health) extendBackoff(until time.Time) {
+	if until.After(h.backoffUntil) {
+		h.backoffUntil = until
 	}
 }
 
--- /dev/null
+++ b/state/selector/outlier_test.go
@@ -0,0 +1,158 @@
+package selector_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/state/selector"
+)
+
+// outlierLoad is a load on three engines, the first of which is faulty.
+type outlierLoad struct {
+	// perSecond is the number of requests a second for the duration.
+	perSecond int
+	duration  time.Duration
+	// soundTime is how long a request runs at a sound engine, and faultyTime the time after
+	// which one fails at the faulty engine.
+	soundTime, faultyTime time.Duration
+	// faultyUntil is the time at which the faulty engine becomes sound.
+	faultyUntil time.Duration
+}
+
+// outlierRun is the result of a load.
+type outlierRun struct {
+	// failed holds the numbers of the requests that failed, and refused counts those that
+	// found no engine within waitTime.
+	failed  []int
+	refused int
+	// servedByFirst holds the times at which the first engine began requests that it served.
+	servedByFirst []time.Duration
+}
+
+// waitTime is how long a request waits for an engine, and step the resolution of a run.
+const (
+	waitTime = 500 * time.Millisecond
+	step     = 5 * time.Millisecond
+)
+
+// run plays the load without a network. Requests that wait are served in their order.
+func (l *outlierLoad) run() outlierRun {
+	s := newSelector(topology(small("e1"), small("e2"), small("e3")), 100)
+	type pending struct {
+		number      int
+		at          time.Duration
+		reservation *selector.Reservation
+	}
+	var result outlierRun
+	var waiting, running []pending
+	sent := 0
+	for now := time.Duration(0); now < l.duration+2*time.Second; now += step {
+		running = slices.DeleteFunc(running, func(r pending) bool {
+			isFaulty := r.reservation.Upstream.ID == "e1" && r.at < l.faultyUntil
+			switch {
+			case isFaulty && now-r.at >= l.faultyTime:
+				r.reservation.Release(selector.Unreachable, start.Add(now))
+				result.failed = append(result.failed, r.number)
+			case !isFaulty && now-r.at >= l.soundTime:
+				r.reservation.MarkFirstByte()
+				r.reservation.Release(selector.Served, start.Add(now))
+				if r.reservation.Upstream.ID == "e1" {
+					result.servedByFirst = append(result.servedByFirst, r.at)
+				}
+			default:
+				return false
+			}
+			return true
+		})
+		for ; now < l.duration && sent < int(now.Seconds()*float64(l.perSecond))+1; sent++ {
+			waiting = append(waiting, pending{number: sent, at: now})
+		}
+		waiting = slices.DeleteFunc(waiting, func(w pending) bool {
+			r := request("m0", "")
+			r.PromptTokens, r.IsWaiting = 10, now > w.at
+			if reservation, _ := s.Choose(r, start.Add(now)); reservation != nil {
+				running = append(running, pending{number: w.number, at: now, reservation: reservation})
+				return true
+			}
+			if now-w.at >= waitTime {
+				result.refused++
+				return true
+			}
+			return false
+		})
+	}
+	return result
+}
+
+var _ = Describe("An engine that answers nothing but garbage", func() {
+	load := outlierLoad{
+		perSecond: 60, duration: 11 * time.Second, soundTime: 300 * time.Millisecond, faultyTime: 45 * time.Millisecond,
+		faultyUntil: time.Hour,
+	}
+
+	// Guards against calls that wait and are sent to a faulty engine together, whenever its
+	// backoff ends.
+	It("costs few requests, however many wait", func() {
+		result := load.run()
+		late := 0
+		for _, number := range result.failed {
+			if number >= 360 {
+				late++
+			}
+		}
+		AddReportEntry("result", fmt.Sprintf("%d of 660 failed, %d of the last 300; %d refused", len(result.failed), late, result.refused))
+		Expect(len(result.failed)).To(BeNumerically("<=", 30))
+		Expect(late).To(BeNumerically("<=", 3))
+	})
+})
+
+// small returns an engine that can run six requests at once.
+func small(id string) *catalog.Upstream {
+	e := engine(id, "za", m0)
+	e.Slots = 7
+	return e
+}
+
+var _ = Describe("An engine that becomes sound again", func() {
+	// Guards against an engine that stays ejected, or gets all requests at once.
+	It("gets requests in steps", func() {
+		load := outlierLoad{
+			perSecond: 60, duration: 11 * time.Second, soundTime: 300 * time.Millisecond, faultyTime: 45 * time.Millisecond,
+			faultyUntil: 4 * time.Second,
+		}
+		served := load.run().servedByFirst
+		Expect(served).NotTo(BeEmpty())
+		// The last backoff begins before the engine is sound and lasts 2.4 s at most.
+		Expect(served[0]).To(BeNumerically("<", load.faultyUntil+2500*time.Millisecond))
+		Expect(countBetween(served, served[0], served[0]+300*time.Millisecond)).To(Equal(1))
+		Expect(countBetween(served, served[0]+300*time.Millisecond, served[0]+600*time.Millisecond)).To(Equal(2))
+		Expect(countBetween(served, served[0]+2*time.Second, served[0]+3*time.Second)).To(BeNumerically(">=", 15))
+	})
+
+	// Guards against a model of which no engine is left because all have failed.
+	It("is used although it is ejected if no other engine could serve the request", func() {
+		s := newSelector(topology(engine("e1", "za", m0)), 100)
+		now := start
+		for range 6 {
+			reservation, _ := s.Choose(request("m0", ""), now)
+			Expect(reservation).NotTo(BeNil())
+			reservation.Release(selector.Unreachable, now)
+			now = now.Add(1200 * time.Millisecond)
+		}
+	})
+})
+
+func countBetween(times []time.Duration, from, until time.Duration) int {
+	count := 0
+	for _, t := range times {
+		if t >= from && t < until {
+			count++
+		}
+	}
+	return count
+}
--- a/state/selector/ratelimit_test.go
+++ b/state/selector/ratelimit_test.go
@@ -15,7 +15,7 @@
 func limitedSelector(upstreams ...*catalog.Upstream) (*selector.Selector, map[string]throttler.Limit) {
 	limits := make(map[string]throttler.Limit)
 	s := selector.New(selector.Config{
-		AvailabilityZone: "za", ColdRateShare: func(*catalog.Service, string) int { return 100 }, OnLoadChange: func() {},
+		AvailabilityZone: "za", ColdRateShare: func(*catalog.Service, string) int { return 100 }, OnLoadChange: func() {}, OnHealthChange: func(selector.HealthChange) {},
 		RateLimit: func(upstream *catalog.Upstream) throttler.Limit { return limits[upstream.ID] },
 		QuotaShare: func(_ string, requests int) selector.QuotaShare {
 			return selector.QuotaShare{Reachable: requests, Own: requests}
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -14,6 +14,7 @@
 		candidate:     c,
 		waitingTokens: c.uncachedTokens(request),
 		cacheTokens:   request.PromptTokens + request.OutputTokens,
+		isTrial:       c.health.beginTrial(),
 	}
 	c.ownLoad.InFlight++
 	c.ownLoad.WaitingTokens += r.waitingTokens
@@ -38,7 +39,9 @@
 	waitingTokens float64
 	// cacheTokens is the space in the KV cache that the request needs.
 	cacheTokens float64
-	released    bool
+	// isTrial means that the request is a trial that has not ended.
+	isTrial  bool
+	released bool
 }
 
 // MarkFirstByte records that the first byte of the response has arrived. The
@@ -48,9 +51,20 @@
 	defer r.selector.mu.Unlock()
 	r.candidate.ownLoad.WaitingTokens = max(r.candidate.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	r.waitingTokens = 0
+	r.endTrial(true)
 	r.selector.markChanged(r.candidate)
 }
 
+// endTrial ends the trial if the request is one. The caller must lock mu.
+func (r *Reservation) endTrial(hasResponse bool) {
+	if r.isTrial {
+		r.isTrial = false
+		if r.candidate.health.endTrial(hasResponse) {
+			r.selector.config.OnHealthChange(HealthChange{Upstream: r.Upstream.ID})
+		}
+	}
+}
+
 // Release removes the request from the load of the upstream and records its
 // outcome. Further calls have no effect.
 func (r *Reservation) Release(outcome Outcome, now time.Time) {
@@ -64,6 +78,11 @@
 	c.ownLoad.InFlight--
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
-	c.health.recordOutcome(outcome, now)
+	r.endTrial(outcome == Served)
+	if c.health.recordOutcome(outcome, now) {
+		r.selector.config.OnHealthChange(HealthChange{
+			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.unreachableCount, Backoff: c.health.ejectedUntil.Sub(now),
+		})
+	}
 	r.selector.markChanged(c)
 }
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -8,7 +8,6 @@
 package selector
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -115,6 +114,9 @@
 	// OnLoadChange is called when this instance's load on an upstream has changed.
 	// It must not block.
 	OnLoadChange func()
+	// OnHealthChange is called when an upstream is ejected and when its trials end. It must
+	// not block or call the selector.
+	OnHealthChange func(HealthChange)
 	// RateLimit returns the limit that an upstream asks for.
 	RateLimit func(upstream *catalog.Upstream) throttler.Limit
 	// QuotaShare divides a number of requests to an upstream among the instances.
@@ -216,14 +218,27 @@
 	s.recomputePeerLoads(time.Time{})
 }
 
+// EjectedUpstreams returns the number of upstreams that get trials only.
+func (s *Selector) EjectedUpstreams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, c := range s.candidates {
+		if c.health.trialLimit > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // Choose selects the upstream with the lowest cost and adds the request to its
 // load. The caller must release the reservation once.
 func (s *Selector) Choose(request *Request, now time.Time) (*Reservation, Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	service := s.service(request.Service)
-	var best *candidate
-	bestCost := math.Inf(1)
+	var best, ejected cheapest
+	hasOther := false
 	result := NoUpstream
 	for _, c := range s.byService[request.Service] {
 		if !request.allows(c.upstream) {
@@ -233,17 +248,36 @@
 		if eligibility < result {
 			result = eligibility
 		}
-		if eligibility != Chosen {
-			continue
-		}
-		if cost := s.costMillis(c, request, now); cost < bestCost {
-			best, bestCost = c, cost
+		isEjected := c.health.isEjected(now)
+		hasOther = hasOther || eligibility <= Busy && !isEjected
+		switch {
+		case eligibility != Chosen:
+		case isEjected:
+			ejected.add(c, s.costMillis(c, request, now))
+		default:
+			best.add(c, s.costMillis(c, request, now))
 		}
 	}
-	if best == nil {
-		return nil, result
+	if best.candidate == nil && !hasOther {
+		// All upstreams that could serve the request have failed.
+		best = ejected
+	}
+	if best.candidate == nil {
+		return nil, max(result, Busy)
+	}
+	return s.reserve(best.candidate, request, now), Chosen
+}
+
+// cheapest is the candidate with the lowest cost. Its zero value has none.
+type cheapest struct {
+	candidate  *candidate
+	costMillis float64
+}
+
+func (b *cheapest) add(c *candidate, costMillis float64) {
+	if b.candidate == nil || costMillis < b.costMillis {
+		b.candidate, b.costMillis = c, costMillis
 	}
-	return s.reserve(best, request, now), Chosen
 }
 
 func (s *Selector) service(name string) *catalog.Service {
@@ -279,7 +313,7 @@
 	if !s.rateLimitAllows(c, request, now) {
 		return RateLimited
 	}
-	if c.health.inBackoff(now) || !s.coldLimitAllows(c, service, now) {
+	if c.health.inBackoff(now) || !c.health.allowsTrial() || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
 	if !c.hasCapacity(request, service) {
--- a/state/selector/selector_test.go
+++ b/state/selector/selector_test.go
@@ -47,8 +47,8 @@
 	created := selector.New(selector.Config{
 		AvailabilityZone: "za",
 		ColdRateShare:    func(*catalog.Service, string) int { return coldRateShare },
-		OnLoadChange:     func() {},
-		RateLimit:        func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} },
+		OnLoadChange:     func() {}, OnHealthChange: func(selector.HealthChange) {},
+		RateLimit: func(*catalog.Upstream) throttler.Limit { return throttler.Limit{} },
 	})
 	created.SetTopology(s)
 	return created
