Limit what the kernel keeps of responses that callers do not read

Callers saw nothing.

The receive buffers of connections to upstreams were left to the kernel, which grows them up to 6 MB each while the process reads fast.

Change: 128 KB (the kernel allows twice that) for connections to upstreams, on both surroundings. That allows 12 MB/s of one stream from an upstream 10 ms away.

--- a/transport/dialer/dialer.go
+++ b/transport/dialer/dialer.go
@@ -22,6 +22,9 @@
 	// UserTimeout limits how long sent data may stay unacknowledged before the
 	// connection fails (TCP_USER_TIMEOUT). Zero keeps the system default.
 	UserTimeout time.Duration
+	// ReceiveBufferBytes limits the memory of the kernel for bytes that nobody has read. Zero
+	// lets the kernel choose.
+	ReceiveBufferBytes int
 }
 
 // keepAliveProbes is the number of unanswered probes after which a connection fails.
@@ -47,6 +50,9 @@
 				return err
 			}
 		}
+		if err := limitReceiveBuffer(conn, config.ReceiveBufferBytes); err != nil {
+			return err
+		}
 		return setUserTimeout(conn, config.UserTimeout)
 	}
 	return dialer
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -81,11 +81,20 @@
 // before it. A header of an upstream has less than 1 KB.
 const maxResponseHeaderBytes = 64 << 10
 
+// receiveBufferBytes limits the memory of the kernel for a response that its caller does not
+// read. It allows 12 MB/s from an upstream at a distance of 10 ms.
+const receiveBufferBytes = 128 << 10
+
 // newTransport returns a transport that keeps up to maxIdleConns idle
 // connections per host, or none if maxIdleConns is negative. TCP keep-alive
 // detects connections whose state a NAT or firewall has dropped.
 func newTransport(config Config, maxIdleConns int) *http.Transport {
-	connDialer := dialer.New(dialer.Config{SourceAddress: config.SourceAddress, Timeout: config.DialTimeout, KeepAlive: time.Second})
+	connDialer := dialer.New(dialer.Config{
+		SourceAddress:      config.SourceAddress,
+		Timeout:            config.DialTimeout,
+		KeepAlive:          time.Second,
+		ReceiveBufferBytes: receiveBufferBytes,
+	})
 	return &http.Transport{
 		DialContext:         connDialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
