Refuse a request for crashes only if engines ended or were sound

Cause: the quarantiner counted failures, not the engines that had failed, and a completion did not count.

Change: it keeps the incarnations at which a request failed. A request is refused after failures at two of them that have certainly ended, or of which most were sound. One that lives on and fails at other requests too, 2 s apart or more without a completion between, is not sound. A completion releases the request on all instances that know of its crashes. Heartbeats carry crashes and completions instead of counts, under a new key.

--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -133,9 +133,6 @@
 	// Demand is the demand for each model at the sender, in seconds of engine
 	// time per second.
 	Demand map[string]float64 `cbor:"7,keyasint,omitempty"`
-	// Crashes lists recent requests during which upstreams crashed or closed the
-	// connection. An aggregator relays them in partial heartbeats.
-	Crashes []quarantiner.CrashCount `cbor:"8,keyasint,omitempty"`
 	// FencingToken is the sender's fencing token if it is the planner leader, and
 	// 0 otherwise.
 	FencingToken int64 `cbor:"9,keyasint,omitempty"`
@@ -158,6 +155,9 @@
 	// PinQueries asks for the origins of streams.
 	Pins       []pinner.Pin    `cbor:"17,keyasint,omitempty"`
 	PinQueries []pinner.Stream `cbor:"18,keyasint,omitempty"`
+	// Requests is news about requests that may crash upstreams, or nil. An aggregator relays
+	// it in partial heartbeats. Key 8 held counts of crashes.
+	Requests *quarantiner.RequestReport `cbor:"19,keyasint,omitempty"`
 }
 
 // IsPartial reports whether the heartbeat carries only events and not the status
@@ -168,7 +168,7 @@
 // changes.
 func (h *Heartbeat) events() *Heartbeat {
 	partial := NewPartial()
-	partial.From, partial.Crashes = h.From, h.Crashes
+	partial.From, partial.Requests = h.From, h.Requests
 	partial.AdapterRequests, partial.Placements, partial.FeedUpdates = h.AdapterRequests, h.Placements, h.FeedUpdates
 	partial.Parts, partial.RateLimits, partial.Software = h.Parts, h.RateLimits, h.Software
 	partial.Pins, partial.PinQueries = h.Pins, h.PinQueries
@@ -177,7 +177,7 @@
 
 // hasRelayedEvents reports whether the heartbeat has events that aggregators relay.
 func (h *Heartbeat) hasRelayedEvents() bool {
-	return len(h.Placements) > 0 || len(h.Crashes) > 0 || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0 || len(h.Software) > 0
+	return len(h.Placements) > 0 || h.Requests != nil || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0 || len(h.Software) > 0
 }
 
 // NewPartial returns an empty partial heartbeat.
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -79,16 +79,19 @@
 // buildHeartbeat returns this instance's current full heartbeat.
 func (i *Instance) buildHeartbeat() gossiper.Heartbeat {
 	now := time.Now()
-	return gossiper.Heartbeat{
+	heartbeat := gossiper.Heartbeat{
 		Draining:      i.draining.Load(),
 		Ready:         i.isReady(),
 		UptimeSeconds: int64(now.Sub(i.startedAt) / time.Second),
 		Loads:         i.selector.Loads(now),
 		WorkspaceUses: i.allotter.ReportUsage(now),
 		Demand:        i.demand.report(),
-		Crashes:       i.quarantiner.RecentCrashes(maxReportedCrashes, now),
 		FencingToken:  i.elector.LeaderToken(),
 	}
+	if report := i.quarantiner.Report(maxReportedCrashes, now); !report.IsEmpty() {
+		heartbeat.Requests = &report
+	}
+	return heartbeat
 }
 
 // handleHeartbeat applies a peer's heartbeat.
@@ -105,7 +108,9 @@
 		i.selector.UpdatePeerLoads(name, heartbeat.LoadChanges, now)
 	}
 	i.handleFeedUpdates(heartbeat.FeedUpdates)
-	i.quarantiner.RecordPeerCrashes(name, heartbeat.Crashes, now)
+	if heartbeat.Requests != nil {
+		i.quarantiner.Merge(heartbeat.Requests, now)
+	}
 	if heartbeat.Parts != nil {
 		i.parts.Merge(heartbeat.Parts, now)
 	}
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -89,7 +89,7 @@
 	keepAliveTimeout  = 20 * time.Second
 	// maxHeaderBytes is above the operators' limit of 16 KiB.
 	maxHeaderBytes = 32 << 10
-	// maxReportedCrashes is the maximum number of crash counts in a heartbeat.
+	// maxReportedCrashes is the maximum number of crashes, and of completions, in a heartbeat.
 	maxReportedCrashes = 8
 	// bufferedMemoryDivisor is the inverse of the fraction of the memory that the responses
 	// to calls may use, and of that for responses to orders and reports. defaultMemoryMB is
--- a/protocol/proxy/crash.go
+++ b/protocol/proxy/crash.go
@@ -20,25 +20,36 @@
 // this call.
 func (r *run) recordCrash(upstream *catalog.Upstream) {
 	config := &r.proxy.config
-	now := config.Now()
-	if r.stream.events == 0 {
-		config.Quarantiner.RecordCrash(r.fingerprint, now)
+	hasNoOutput := r.stream.events == 0
+	if hasNoOutput {
+		config.Quarantiner.RecordCrash(r.fingerprint, incarnationOf(upstream), config.Now())
 	}
-	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash || len(r.parts) == 0 || !r.proxy.hasEnded(upstream) {
+	if r.stream.eventsOfAttempt() > maxEventsBeforeCrash || !r.proxy.hasEnded(upstream) {
 		return
 	}
+	if hasNoOutput {
+		config.Quarantiner.RecordEnd(r.fingerprint, incarnationOf(upstream), config.Now())
+	}
 	config.Parts.RecordCrash(quarantiner.Suspicion{
-		Crash: xxhash.Sum64String(incarnationOf(upstream)), Request: uint64(r.fingerprint), Parts: r.parts,
+		Crash: uint64(incarnationOf(upstream)), Request: uint64(r.fingerprint), Parts: r.parts,
 	}, config.Now())
 }
 
+// recordCompletion records that an upstream has completed this call with a response. The end
+// of a connection is no evidence that the response is whole.
+func (r *run) recordCompletion(upstream *catalog.Upstream, response *Response) {
+	if !response.EndsWithConnection {
+		r.proxy.config.Quarantiner.RecordCompletion(r.fingerprint, incarnationOf(upstream), r.proxy.config.Now())
+	}
+}
+
 // endCheckTimeout bounds the check whether an upstream has ended.
 const endCheckTimeout = 250 * time.Millisecond
 
 // hasEnded reports whether an incarnation of an upstream has ended. A lost connection
 // does not show it: responses and connections are lost without a crash too.
 func (p *Proxy) hasEnded(upstream *catalog.Upstream) bool {
-	ended, _, _ := p.endChecks.Do(incarnationOf(upstream), func() (any, error) {
+	ended, _, _ := p.endChecks.Do(incarnationText(upstream), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 		return p.config.HasEnded(ctx, upstream), nil
@@ -46,8 +57,14 @@
 	return ended == true
 }
 
-// incarnationOf returns a text that is unique to an incarnation of an upstream.
-func incarnationOf(upstream *catalog.Upstream) string {
+// incarnationOf returns a hash that identifies the incarnation of an upstream on all
+// instances.
+func incarnationOf(upstream *catalog.Upstream) quarantiner.Incarnation {
+	return quarantiner.Incarnation(xxhash.Sum64String(incarnationText(upstream)))
+}
+
+// incarnationText returns a text that is unique to an incarnation of an upstream.
+func incarnationText(upstream *catalog.Upstream) string {
 	return upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)
 }
 
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -232,7 +232,7 @@
 		r.deadline = r.call.ArrivedAt.Add(r.call.CallerTimeout)
 	}
 	r.fingerprint = r.call.fingerprint(r.record.Workspace)
-	if r.proxy.config.Quarantiner.Crashes(r.fingerprint, now) >= quarantiner.MaxCrashes {
+	if r.proxy.config.Quarantiner.IsQuarantined(r.fingerprint, now) {
 		return errCrashesUpstreams
 	}
 	r.parts = r.call.sharedParts()
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -81,7 +81,6 @@
 	defer body.Release()
 	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
-	config := &r.proxy.config
 	if err == nil && response.EndsWithConnection && r.proxy.hasEnded(&reservation.Upstream) {
 		err = errUpstreamEnded
 	}
@@ -102,8 +101,11 @@
 		// A stream that has begun cannot continue with another kind of response.
 		return selector.Failed, failed
 	}
+	if response.Status < http.StatusMultipleChoices {
+		r.recordCompletion(&reservation.Upstream, response)
+	}
 	if response.Status == http.StatusOK {
-		config.Parts.RecordCompletion(r.parts, config.Now())
+		r.proxy.config.Parts.RecordCompletion(r.parts, r.proxy.config.Now())
 	}
 	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -128,7 +128,7 @@
 	if !now.Before(r.deadline) || !r.stream.canContinue() {
 		return false
 	}
-	if config.Quarantiner.Crashes(r.fingerprint, now) >= quarantiner.MaxCrashes {
+	if config.Quarantiner.IsQuarantined(r.fingerprint, now) {
 		return false
 	}
 	if r.record.Attempts == 0 {
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -59,6 +59,7 @@
 	var callerErr *callerError
 	switch {
 	case err == nil:
+		r.recordCompletion(&reservation.Upstream, response)
 		if r.stream.eventsOfAttempt() > maxEventsBeforeCrash {
 			r.proxy.config.Parts.RecordCompletion(r.parts, r.proxy.config.Now())
 		}
--- a/state/quarantiner/quarantiner.go
+++ b/state/quarantiner/quarantiner.go
@@ -1,127 +1,282 @@
-// Package quarantiner counts the upstreams that crash or close the connection
-// while they execute a request, so that a request that crashes upstreams can be
-// refused.
+// Package quarantiner finds the requests, and the parts of prompts, that crash
+// upstreams, so that they can be refused.
 package quarantiner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// MaxCrashes is the number of upstreams that one request may crash.
-	MaxCrashes = 2
+	// crashLimit is the number of sound incarnations from which on a request that has
+	// crashed them is refused.
+	crashLimit = 2
 	// crashRetention is how long the crashes of a request count after the last
-	// one.
+	// one, and how long an incarnation is taken for faulty after its last one.
 	crashRetention = 60 * time.Second
-	// reportPeriod is how long a crash is reported to peers.
+	// commonCauseTime is the time within which crashes of one incarnation have one cause:
+	// all that an upstream runs ends with it, and a lost machine is noticed late.
+	commonCauseTime = 2 * time.Second
+	// reportPeriod is how long a crash or a completion is reported to peers.
 	reportPeriod = 5 * time.Second
-	// maxEntries bounds the requests whose crashes are counted.
+	// maxEntries bounds the requests, and the incarnations, whose crashes are known.
+	// maxCrashes bounds the crashes of one request.
 	maxEntries = 4096
+	maxCrashes = 32
 )
 
 // Fingerprint identifies a request across retries by a hash of its workspace, its
 // path and its body.
 type Fingerprint uint64
 
-// CrashCount is the number of upstreams that a request has crashed, as one
-// instance has counted them.
-type CrashCount struct {
+// Incarnation identifies the time of an upstream from one start to its end.
+type Incarnation uint64
+
+// Crash is an upstream that crashed or closed the connection while it executed a request.
+type Crash struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	Count       int         `cbor:"2,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	// Age is the time since the crash.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	// HasEnded means that the incarnation has certainly ended.
+	HasEnded bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Completion is a request that has completed after it seemed to crash upstreams.
+type Completion struct {
+	Fingerprint Fingerprint   `cbor:"1,keyasint"`
+	Age         time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// RequestReport is what an instance tells its peers about requests.
+type RequestReport struct {
+	Crashes     []Crash      `cbor:"1,keyasint,omitempty"`
+	Completions []Completion `cbor:"2,keyasint,omitempty"`
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (r *RequestReport) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Completions) == 0 }
+
+// mark is the time of a crash or a completion.
+type mark struct {
+	at time.Time
+	// isOwn means that this instance has seen it.
+	isOwn bool
+	// hasEnded is set for crashes of incarnations that have certainly ended.
+	hasEnded bool
 }
 
-// entry holds the counts of one request: of this instance and of each peer.
-type entry struct {
-	own    int
-	peers  map[string]int
+// isNews reports whether the peers should be told.
+func (m *mark) isNews(now time.Time) bool { return m.isOwn && now.Sub(m.at) < reportPeriod }
+
+// requestEntry is what is known of a request.
+type requestEntry struct {
+	// crashes are those since the last completion.
+	crashes    map[Incarnation]mark
+	completion mark
+	// latest is the time of the latest crash, or that of the entry's creation.
 	latest time.Time
 }
 
-// Quarantiner counts crashes by request. It is safe for concurrent use.
+// incarnationEntry is what is known of an incarnation that has crashed and not completed a
+// request since.
+type incarnationEntry struct {
+	fingerprint Fingerprint
+	// first and latest are the times of the first crash and of the latest one.
+	first, latest time.Time
+	// isFaulty means that requests failed that have nothing in common but the upstream.
+	isFaulty bool
+}
+
+// Quarantiner finds requests that crash upstreams, whichever upstream runs them. Failures of
+// an upstream that lives on and fails at other work too say nothing about a request. A
+// request that has completed does not crash upstreams. It is safe for concurrent use.
 type Quarantiner struct {
-	mu      sync.Mutex
-	entries map[Fingerprint]*entry
+	mu           sync.Mutex
+	requests     map[Fingerprint]*requestEntry
+	incarnations map[Incarnation]*incarnationEntry
 }
 
 // New returns a quarantiner without any crashes.
-func New() *Quarantiner { return &Quarantiner{entries: make(map[Fingerprint]*entry)} }
+func New() *Quarantiner {
+	return &Quarantiner{requests: make(map[Fingerprint]*requestEntry), incarnations: make(map[Incarnation]*incarnationEntry)}
+}
 
-// RecordCrash counts an upstream that crashed or closed the connection while it
+// RecordCrash records an upstream that crashed or closed the connection while it
 // executed a request.
-func (q *Quarantiner) RecordCrash(fingerprint Fingerprint, now time.Time) {
+func (q *Quarantiner) RecordCrash(fingerprint Fingerprint, incarnation Incarnation, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	e := q.entry(fingerprint, now)
-	e.own++
-	e.latest = now
+	q.add(fingerprint, incarnation, mark{at: now, isOwn: true}, now)
 }
 
-// RecordPeerCrashes merges the counts of a peer. Counts that are not higher than
-// before have no effect.
-func (q *Quarantiner) RecordPeerCrashes(instance string, crashes []CrashCount, now time.Time) {
+// RecordEnd records that an incarnation has certainly ended while it executed a request, in
+// addition to RecordCrash.
+func (q *Quarantiner) RecordEnd(fingerprint Fingerprint, incarnation Incarnation, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, crash := range crashes {
-		e := q.entry(crash.Fingerprint, now)
-		if e.peers[instance] < crash.Count {
-			e.peers[instance] = crash.Count
-			e.latest = now
-		}
-	}
+	q.add(fingerprint, incarnation, mark{at: now, isOwn: true, hasEnded: true}, now)
 }
 
-// entry returns the entry of a request and creates it when needed. The caller must
-// lock mu.
-func (q *Quarantiner) entry(fingerprint Fingerprint, now time.Time) *entry {
-	e := q.entries[fingerprint]
-	if e != nil {
-		return e
-	}
-	if len(q.entries) >= maxEntries {
-		q.evict(now)
+// RecordCompletion records that an upstream has completed a request, so that it is not the
+// request that has crashed others, and that the upstream does not fail at all its work.
+func (q *Quarantiner) RecordCompletion(fingerprint Fingerprint, incarnation Incarnation, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.incarnations, incarnation)
+	if e := q.requests[fingerprint]; e != nil && len(e.crashes) > 0 {
+		e.complete(mark{at: now, isOwn: true})
 	}
-	e = &entry{peers: make(map[string]int), latest: now}
-	q.entries[fingerprint] = e
-	return e
 }
 
-// evict removes expired entries, and arbitrary entries while less than a quarter
-// of the capacity is free.
-func (q *Quarantiner) evict(now time.Time) {
-	for fingerprint, e := range q.entries {
-		if now.Sub(e.latest) > crashRetention || len(q.entries) > maxEntries*3/4 {
-			delete(q.entries, fingerprint)
+// IsQuarantined reports whether a request has crashed so many upstreams, over all
+// instances, that it must not be sent to another one.
+func (q *Quarantiner) IsQuarantined(fingerprint Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.requests[fingerprint]
+	if e == nil || now.Sub(e.latest) > crashRetention {
+		return false
+	}
+	ended, sound, faulty := 0, 0, 0
+	for incarnation, crash := range e.crashes {
+		switch known := q.incarnations[incarnation]; {
+		case crash.hasEnded:
+			ended++
+		case known == nil || !known.isFaulty || now.Sub(known.latest) > crashRetention:
+			sound++
+		default:
+			faulty++
 		}
 	}
+	return ended >= crashLimit || ended+sound >= crashLimit && ended+sound > faulty
 }
 
-// Crashes returns the number of upstreams that a request has crashed, over all
-// instances.
-func (q *Quarantiner) Crashes(fingerprint Fingerprint, now time.Time) int {
+// Merge applies a peer's report.
+func (q *Quarantiner) Merge(report *RequestReport, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	e := q.entries[fingerprint]
-	if e == nil || now.Sub(e.latest) > crashRetention {
-		return 0
+	for _, completion := range report.Completions {
+		at := now.Add(-max(completion.Age, 0))
+		if e := q.request(completion.Fingerprint, now); at.After(e.completion.at) {
+			e.complete(mark{at: at})
+		}
 	}
-	total := e.own
-	for _, count := range e.peers {
-		total += count
+	for _, crash := range report.Crashes {
+		q.add(crash.Fingerprint, crash.Incarnation, mark{at: now.Add(-max(crash.Age, 0)), hasEnded: crash.HasEnded}, now)
 	}
-	return total
 }
 
-// RecentCrashes returns at most limit counts of this instance, for requests with
-// a recent crash.
-func (q *Quarantiner) RecentCrashes(limit int, now time.Time) []CrashCount {
+// Report returns what the peers should be told now, with at most limit crashes and as many
+// completions. Of a request with news it tells all crashes, as earlier reports may be lost,
+// and it begins with the requests of which there are most.
+func (q *Quarantiner) Report(limit int, now time.Time) RequestReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var crashes []CrashCount
-	for fingerprint, e := range q.entries {
-		if len(crashes) < limit && e.own > 0 && now.Sub(e.latest) < reportPeriod {
-			crashes = append(crashes, CrashCount{Fingerprint: fingerprint, Count: e.own})
+	var report RequestReport
+	var news [][]Crash
+	for fingerprint, e := range q.requests {
+		if e.completion.isNews(now) && len(report.Completions) < limit {
+			report.Completions = append(report.Completions, Completion{Fingerprint: fingerprint, Age: now.Sub(e.completion.at)})
 		}
+		if crashes := e.ownCrashes(fingerprint, now); len(crashes) > 0 {
+			news = append(news, crashes)
+		}
+	}
+	slices.SortFunc(news, func(a, b []Crash) int { return cmp.Compare(len(b), len(a)) })
+	for _, crashes := range news {
+		report.Crashes = append(report.Crashes, crashes[:min(len(crashes), limit-len(report.Crashes))]...)
+	}
+	return report
+}
+
+// ownCrashes returns the crashes that this instance has seen, if one of them is news.
+func (e *requestEntry) ownCrashes(fingerprint Fingerprint, now time.Time) []Crash {
+	var crashes []Crash
+	hasNews := false
+	for incarnation, crash := range e.crashes {
+		if crash.isOwn {
+			hasNews = hasNews || crash.isNews(now)
+			crashes = append(crashes, Crash{Fingerprint: fingerprint, Incarnation: incarnation, Age: now.Sub(crash.at), HasEnded: crash.hasEnded})
+		}
+	}
+	if !hasNews {
+		return nil
 	}
 	return crashes
 }
+
+// add records a crash unless the request has completed since. The caller must lock mu.
+func (q *Quarantiner) add(fingerprint Fingerprint, incarnation Incarnation, crash mark, now time.Time) {
+	e := q.request(fingerprint, now)
+	if !crash.at.After(e.completion.at) {
+		return
+	}
+	if now.Sub(e.latest) > crashRetention || len(e.crashes) >= maxCrashes {
+		clear(e.crashes)
+	}
+	if known, isKnown := e.crashes[incarnation]; isKnown {
+		known.isOwn, known.hasEnded = known.isOwn || crash.isOwn, known.hasEnded || crash.hasEnded
+		e.crashes[incarnation] = known
+		return
+	}
+	e.crashes[incarnation] = crash
+	if crash.at.After(e.latest) {
+		e.latest = crash.at
+	}
+	q.blame(fingerprint, incarnation, crash.at, now)
+}
+
+// blame takes an incarnation for faulty if requests have failed at it that have nothing else
+// in common. The caller must lock mu.
+func (q *Quarantiner) blame(fingerprint Fingerprint, incarnation Incarnation, at, now time.Time) {
+	known := q.incarnations[incarnation]
+	if known == nil || now.Sub(known.latest) > crashRetention {
+		evict(q.incarnations, func(e *incarnationEntry) time.Time { return e.latest }, now)
+		q.incarnations[incarnation] = &incarnationEntry{fingerprint: fingerprint, first: at, latest: at}
+		return
+	}
+	if known.fingerprint != fingerprint && at.Sub(known.first).Abs() >= commonCauseTime {
+		known.isFaulty = true
+	}
+	if at.After(known.latest) {
+		known.latest = at
+	}
+}
+
+// request returns the entry of a request and creates it when needed. The caller must
+// lock mu.
+func (q *Quarantiner) request(fingerprint Fingerprint, now time.Time) *requestEntry {
+	e := q.requests[fingerprint]
+	if e != nil {
+		return e
+	}
+	evict(q.requests, func(e *requestEntry) time.Time { return e.latest }, now)
+	e = &requestEntry{crashes: make(map[Incarnation]mark), latest: now}
+	q.requests[fingerprint] = e
+	return e
+}
+
+// complete forgets the crashes up to a completion.
+func (e *requestEntry) complete(completion mark) {
+	e.completion = completion
+	maps.DeleteFunc(e.crashes, func(_ Incarnation, crash mark) bool { return !crash.at.After(completion.at) })
+}
+
+// evict removes expired entries once there is no room for another one, and then arbitrary
+// entries until a quarter of the capacity is free.
+func evict[K comparable, E any](entries map[K]E, latest func(E) time.Time, now time.Time) {
+	if len(entries) < maxEntries {
+		return
+	}
+	maps.DeleteFunc(entries, func(_ K, e E) bool { return now.Sub(latest(e)) > crashRetention })
+	for key := range entries {
+		if len(entries) <= maxEntries*3/4 {
+			return
+		}
+		delete(entries, key)
+	}
+}
