Let the soak's capacity follow from its callers, and measure it before faults

Change: for each 16 callers there are four engines, two plain upstreams and a part of the workspace's limit. Calls are measured for 4 s before the faults too, with the bound of `recovery` (`baseline`). Upstreams that fail at every request, in one of 15 ways, are drawn with the other faults; `outlier` bounds what each instance sends to one. Runs with 16 callers have the engines they had.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -43,13 +43,19 @@
 	// minLeadershipGap is the minimum time between the orders of two planner
 	// leaders. It equals the lease of the settings.
 	minLeadershipGap = 3 * time.Second
-	// minServedShare is the minimum share of calls that are served after recovery.
+	// minServedShare is the minimum share of calls that are served before the faults and
+	// after recovery.
 	minServedShare = 0.9
 	// An upstream that names a rate limit may get rateLimitOvershoot times what that allows
 	// in rateLimitWindow, and rateLimitSlack requests more.
 	rateLimitWindow    = 4 * time.Second
 	rateLimitOvershoot = 1.5
 	rateLimitSlack     = 5.0
+	// An instance may send maxTrials requests, and one each trialInterval, to an upstream that
+	// has failed at all requests for ejectionTime.
+	ejectionTime  = time.Second
+	maxTrials     = 6
+	trialInterval = 1200 * time.Millisecond
 	// A call counts this many tokens against the workspace's limit.
 	tokensPerModelCall = 120.0
 	tokensPerPlainCall = 100.0
@@ -63,11 +69,14 @@
 
 // Result summarizes a run.
 type Result struct {
-	Calls      int         `json:"calls"`
-	Statuses   map[int]int `json:"statuses"`
-	Runs       int         `json:"runs"`
-	Orders     int         `json:"orders"`
-	CalmServed float64     `json:"calm_served"`
+	Calls    int         `json:"calls"`
+	Statuses map[int]int `json:"statuses"`
+	Runs     int         `json:"runs"`
+	Orders   int         `json:"orders"`
+	// BaselineServed and CalmServed are the shares of the calls that were served before the
+	// faults and after the recovery from them.
+	BaselineServed float64 `json:"baseline_served"`
+	CalmServed     float64 `json:"calm_served"`
 	// Begun and TakenUp count the streams that callers begin and take up again, and the
 	// served ones of them.
 	Begun         int `json:"begun"`
@@ -77,8 +86,11 @@
 	// TakenUpStatuses counts the take-ups by their status. It is 0 without a response.
 	TakenUpStatuses map[int]int `json:"taken_up_statuses"`
 	// Mixed counts the streams with events of two software versions.
-	Mixed  int            `json:"mixed"`
-	Broken map[string]int `json:"broken"`
+	Mixed int `json:"mixed"`
+	// MaxTrials is the largest number of requests that an instance sent to an upstream which
+	// failed at all of them.
+	MaxTrials int            `json:"max_trials"`
+	Broken    map[string]int `json:"broken"`
 	// PeakMemoryMB is the largest resident memory of a process.
 	PeakMemoryMB int `json:"peak_memory_mb"`
 	// Violations lists the first violations of each check.
@@ -123,6 +135,7 @@
 	j.checkUpstreams()
 	j.checkLimit()
 	j.checkRateLimits()
+	j.checkBroken()
 	j.checkRetries()
 	j.checkOrders()
 	j.checkTable()
@@ -202,12 +215,19 @@
 	return mayServe || serves(&current), mayRefuse || !serves(&current)
 }
 
-// checkRecovery checks that the service recovers after all faults.
+// checkRecovery checks that the service bears its load without faults, and recovers after all
+// of them.
 func (j *checker) checkRecovery() {
+	j.result.BaselineServed = j.checkServed("baseline", j.baseline)
+	j.result.CalmServed = j.checkServed("recovery", j.recovery)
+}
+
+// checkServed checks the share of the calls in a time range that were served, and returns it.
+func (j *checker) checkServed(check string, window interval) float64 {
 	served, total := 0, 0
 	for i := range j.calls {
 		c := &j.calls[i]
-		if c.sentAt.Before(j.recoveryFrom) || c.endedAt.After(j.recoveryUntil) || c.kind == probe || c.status == 429 || c.canceled {
+		if c.sentAt.Before(window.from) || c.endedAt.After(window.until) || c.kind == probe || c.status == 429 || c.canceled {
 			continue
 		}
 		total++
@@ -216,11 +236,12 @@
 		}
 	}
 	if total == 0 {
-		j.fail("recovery", "no calls after the faults")
-		return
+		j.fail(check, "no calls")
+		return 0
 	}
-	j.result.CalmServed = float64(served) / float64(total)
-	if j.result.CalmServed < minServedShare {
-		j.fail("recovery", "%d of %d calls served after the faults", served, total)
+	share := float64(served) / float64(total)
+	if share < minServedShare {
+		j.fail(check, "%d of %d calls served", served, total)
 	}
+	return share
 }
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -37,7 +37,8 @@
 // validHistory returns a history without violations.
 func validHistory() *history {
 	h := newHistory()
-	h.recoveryFrom, h.recoveryUntil = at(100), at(110)
+	h.baseline, h.recovery = interval{at(9), at(11)}, interval{at(100), at(110)}
+	h.limitRate = limitRate
 	h.upstreams = []upstream{{id: "i-c", incarnation: "i-c/1", zone: "za", service: platformtest.PlainService}}
 	h.add("1", order, 10)
 	h.add("2", lookUp, 105)
@@ -133,6 +134,12 @@
 				h.add(string(rune('a'+i)), lookUp, 20+float64(i)/200)
 			}
 		}),
+		Entry("requests to an upstream that fails at all of them", "outlier", func(h *history) {
+			for n := range 20 {
+				h.add(fmt.Sprint("failed-", n), lookUp, 20+float64(n)/5).status = 502
+			}
+			h.addBroken(brokenUpstream{incarnation: "i-c/1", interval: interval{at(18), at(25)}})
+		}),
 		Entry("too many retries", "retry_budget", func(h *history) {
 			for range 80 {
 				h.upstreams[0].arrivals = append(h.upstreams[0].arrivals, h.upstreams[0].arrivals[0])
@@ -156,6 +163,7 @@
 			c := h.add("3", probe, 20)
 			c.path, c.status = toggledPath+"3", 404
 		}),
+		Entry("a service that does not bear its load without faults", "baseline", func(h *history) { h.calls[0].status = 503 }),
 		Entry("a service that does not recover", "recovery", func(h *history) { h.calls[1].status = 503 }),
 	)
 
--- a/standin/soaker/checker_upstreams.go
+++ b/standin/soaker/checker_upstreams.go
@@ -66,6 +66,33 @@
 	}
 }
 
+// checkBroken checks that an upstream that answers every request badly gets few of them from
+// each instance.
+func (j *checker) checkBroken() {
+	for _, broken := range j.brokenUpstreams {
+		index := slices.IndexFunc(j.upstreams, func(u upstream) bool { return u.incarnation == broken.incarnation })
+		if index < 0 {
+			continue
+		}
+		from := broken.from.Add(ejectionTime)
+		counts := make(map[string]int)
+		for _, arrival := range j.upstreams[index].arrivals {
+			c := j.byID[arrival.ID]
+			if c != nil && arrival.At.After(from) && arrival.At.Before(broken.until) && j.hasRun(c.instance, arrival.At) {
+				counts[c.instance]++
+			}
+		}
+		bound := maxTrials + int(broken.until.Sub(from)/trialInterval)
+		for instance, count := range counts {
+			j.result.MaxTrials = max(j.result.MaxTrials, count)
+			if count > bound {
+				j.fail("outlier", "%s sent %d requests to %s, which failed at each for %s, bound %d",
+					instance, count, broken.incarnation, broken.until.Sub(from), bound)
+			}
+		}
+	}
+}
+
 // hasRun reports whether an instance was without faults of its own for the stabilization
 // time before a time.
 func (j *checker) hasRun(instance string, at time.Time) bool {
@@ -144,7 +171,7 @@
 		}
 		samples = append(samples, usageSample{runs[0].At, tokens})
 	}
-	bound := (limitRate*limitWindow.Seconds()+limitRate)*(1+limitOvershoot) + limitSlack
+	bound := (j.limitRate*limitWindow.Seconds()+j.limitRate)*(1+limitOvershoot) + limitSlack
 	if maxSum := maxSumInWindow(samples, limitWindow); maxSum > bound {
 		j.fail("limit", "%.0f tokens in %s, bound %.0f", maxSum, limitWindow, bound)
 	}
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -33,13 +33,18 @@
 	drainedAt   map[string]time.Time
 	// rateLimits holds the times in which upstreams named a rate limit.
 	rateLimits []rateLimit
-	upstreams  []upstream
+	// brokenUpstreams holds the times in which upstreams answered every request badly.
+	brokenUpstreams []brokenUpstream
+	upstreams       []upstream
 	// memory holds the largest resident memory of each process in MB, and exits describes
 	// the processes that ended by themselves.
-	memory        map[string]int
-	exits         []string
-	recoveryFrom  time.Time
-	recoveryUntil time.Time
+	memory map[string]int
+	exits  []string
+	// baseline and recovery are the times before and after the faults in which the share of
+	// served calls is measured.
+	baseline, recovery interval
+	// limitRate is the workspace's limit in tokens per second.
+	limitRate float64
 }
 
 // addMemory records the largest resident memory of a process.
@@ -72,6 +77,20 @@
 	perSecond   float64
 }
 
+// brokenUpstream is an incarnation of an upstream that answered every request badly for some
+// time.
+type brokenUpstream struct {
+	interval
+	incarnation string
+	behaviour   platformtest.Behaviour
+}
+
+func (h *history) addBroken(broken brokenUpstream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.brokenUpstreams = append(h.brokenUpstreams, broken)
+}
+
 // edit is a change of the table. It lists the added paths and the valid keys after the change.
 type edit struct {
 	at    time.Time
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -47,6 +47,9 @@
 	// highest one in requests per second.
 	rateLimitTime = 9 * time.Second
 	maxRateLimit  = 6.0
+	// minBrokenTime and maxBrokenTime bound how long an upstream answers every request badly.
+	minBrokenTime = 3 * time.Second
+	maxBrokenTime = 9 * time.Second
 	// drainServeTime is how long a draining upstream still serves requests.
 	drainServeTime = 2500 * time.Millisecond
 )
@@ -61,6 +64,8 @@
 	// and the faults of which only one may run at a time.
 	busy  map[string]bool
 	table platformtest.Table
+	// behave draws how an upstream that is not broken handles a request.
+	behave func(platformtest.Execution) platformtest.Behaviour
 
 	mu sync.Mutex
 	// storeFault affects the fraction storeFaultRate of the calls to the store.
@@ -118,7 +123,8 @@
 		}
 		return platformtest.NoFault
 	})
-	i.soaker.site.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return randomBehaviour(draw()) })
+	i.behave = func(platformtest.Execution) platformtest.Behaviour { return randomBehaviour(draw()) }
+	i.soaker.site.SetBehaviour(i.behave)
 }
 
 // randomBehaviour maps a random number in [0, 1) to the behaviour of an upstream.
@@ -156,6 +162,7 @@
 		i.cutStoreLink, i.cutStoreLink, i.degradeStore, i.degradeStore, i.compactStore, i.moveLeadership,
 		i.degradeLink, i.degradeLink, i.blackholeLink, i.crashUpstream, i.drainUpstream,
 		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore, i.breakControl,
+		i.breakUpstream, i.breakUpstream,
 	}
 	faults[i.random.IntN(len(faults))]()
 }
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -35,6 +35,10 @@
 const (
 	// readyTimeout bounds the start of the fleet.
 	readyTimeout = 15 * time.Second
+	// warmUpTime is the time from the first calls to baselineWindow, in which the share of
+	// served calls is measured before any fault.
+	warmUpTime     = time.Second
+	baselineWindow = 4 * time.Second
 	// recoveryTimeLimit is the time after the last fault within which the service
 	// must recover. The operators' bound is 12 s.
 	recoveryTimeLimit = 12 * time.Second
@@ -60,15 +64,9 @@
 	}
 	s := &Soaker{config: config, site: platformtest.NewPlatform(), links: make(map[string]*upstreamLink), history: newHistory()}
 	defer s.close()
+	s.history.limitRate = limitRate * float64(config.groups())
 	s.site.PutTable(s.initialTable())
-	// Two of four engines have another version of the software.
-	for number, zone := range []string{"za", "zb"} {
-		s.site.StartUpstream(platformtest.UpstreamConfig{
-			ID: fmt.Sprint("i-new-", number), Service: platformtest.ModelService, Zone: zone, Slots: 8, Models: []string{platformtest.Model},
-			MemoryMB: 200000, ModelMemoryMB: 65000, AdapterSlots: 2, LoadTime: 100 * time.Millisecond, EventsPerStream: eventsPerStream,
-			SoftwareVersion: "v2",
-		})
-	}
+	s.startUpstreams()
 	for id, engine := range s.site.Upstreams() {
 		if err := s.proxyUpstream(id, engine); err != nil {
 			return nil, err
@@ -98,12 +96,12 @@
 func (s *Soaker) initialTable() platformtest.Table {
 	table := s.site.Table()
 	table.Version++
-	table.TokensPerSecond = limitRate
+	table.TokensPerSecond = s.history.limitRate
 	return table
 }
 
-// runWorkload sends calls while it injects faults, and continues the calls
-// afterwards to measure the recovery.
+// runWorkload sends calls, first without faults, then while it injects them, and continues the
+// calls afterwards to measure the recovery.
 func (s *Soaker) runWorkload(ctx context.Context) error {
 	callersCtx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -116,18 +114,35 @@
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))
 		group.Go(func() error { return newCaller(s, number, random).run(callersCtx) })
 	}
+	err := s.runPhases(ctx)
+	stop()
+	return errors.Join(err, group.Wait())
+}
+
+// runPhases measures the calls without faults, injects faults, and measures the calls again.
+func (s *Soaker) runPhases(ctx context.Context) error {
+	if err := sleep(ctx, warmUpTime); err != nil {
+		return err
+	}
+	if err := measure(ctx, baselineWindow, &s.history.baseline); err != nil {
+		return err
+	}
 	faults := newInjector(s, rand.New(rand.NewPCG(s.config.Seed, 0)))
-	err := faults.run(ctx, s.config.Duration)
-	if err == nil {
-		err = sleep(ctx, recoveryTimeLimit)
+	if err := faults.run(ctx, s.config.Duration); err != nil {
+		return err
 	}
-	s.history.recoveryFrom = time.Now()
-	if err == nil {
-		err = sleep(ctx, recoveryWindow)
+	if err := sleep(ctx, recoveryTimeLimit); err != nil {
+		return err
 	}
-	s.history.recoveryUntil = time.Now()
-	stop()
-	return errors.Join(err, group.Wait())
+	return measure(ctx, recoveryWindow, &s.history.recovery)
+}
+
+// measure waits for a duration and records the time.
+func measure(ctx context.Context, duration time.Duration, window *interval) error {
+	window.from = time.Now()
+	err := sleep(ctx, duration)
+	window.until = time.Now()
+	return err
 }
 
 // errNotReady is returned if an instance does not become ready in time.
--- a/standin/soaker/upstream_faults.go
+++ b/standin/soaker/upstream_faults.go
@@ -144,6 +144,32 @@
 	}
 }
 
+// lastingBehaviours are the behaviours of an upstream that answers every request badly. Refusals
+// are not among them, since they cost callers nothing.
+var lastingBehaviours = slices.Concat(endlessBehaviours, []platformtest.Behaviour{
+	platformtest.Crash, platformtest.ResetMidStream, platformtest.WrongRequestID, platformtest.ResetMidBody,
+	platformtest.CloseBeforeFirstEvent, platformtest.Hang,
+})
+
+// breakUpstream makes an upstream answer every request badly, in the same way, for seconds.
+func (i *injector) breakUpstream() {
+	id := i.pickUpstream()
+	engine := i.soaker.site.Upstreams()[id]
+	if engine == nil || i.busy["broken"] {
+		return
+	}
+	i.busy["broken"] = true
+	behaviour := lastingBehaviours[i.random.IntN(len(lastingBehaviours))]
+	engine.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return behaviour })
+	from := time.Now()
+	duration := minBrokenTime + time.Duration(i.random.Float64()*float64(maxBrokenTime-minBrokenTime))
+	i.scheduled = append(i.scheduled, scheduledAction{from.Add(duration), func() {
+		engine.SetBehaviour(i.behave)
+		i.soaker.history.addBroken(brokenUpstream{incarnation: id + "/" + engine.Address(), behaviour: behaviour, interval: interval{from, time.Now()}})
+		i.busy["broken"] = false
+	}})
+}
+
 // limitUpstream makes an upstream name a rate limit in its responses.
 func (i *injector) limitUpstream() {
 	id := i.pickUpstream()
