Build the settings of instances in tests in one place

The settings file was written twice, in the integration specs and in the soak, with the bounds a third time in the soak's checks. platformtest.InstanceSettings writes it, and its constants are the bounds of all three.

--- a/integration/hosted_command_test.go
+++ b/integration/hosted_command_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,31 +22,12 @@
 // readiness probes and for callers.
 func hostedSettings(site *platformtest.Platform) (text, readiness, callers string) {
 	GinkgoHelper()
-	readiness, callers = platformtest.FreeAddress(), platformtest.FreeAddress()
-	return fmt.Sprintf(`
-[instance]
-id = "node-1"
-availability_zone = "za"
-first_start = true
-[listen]
-callers = "%s"
-readiness = "%s"
-discovery = "%s"
-peers = "%s"
-[store]
-address = "%s"
-min_ttl = "1000ms"
-[bounds]
-grace = "8s"
-retry_ratio = 0.2
-retry_extra = 56
-retry_window = "10s"
-quota_window = "8s"
-quota_slack = 17000
-cold_overshoot = 1.5
-cold_slack = 5
-lease = "3000ms"
-`, callers, readiness, platformtest.FreeAddress(), platformtest.FreeAddress(), site.Store.Address()), readiness, callers
+	settings := platformtest.InstanceSettings{
+		ID: "node-1", AvailabilityZone: "za", IsFirstStart: true, Store: site.Store.Address(),
+		Callers: platformtest.FreeAddress(), Readiness: platformtest.FreeAddress(),
+		Discovery: platformtest.FreeAddress(), Peers: platformtest.FreeAddress(),
+	}
+	return settings.String(), settings.Readiness, settings.Callers
 }
 
 // startHostedDaemon starts an instance as a process, and returns its settings file.
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -11,11 +11,11 @@
 
 // Bounds of the operators' guarantees.
 const (
-	retryRatio     = 0.2
-	retryAllowance = 56.0
-	retryWindow    = 10 * time.Second
-	limitWindow    = 8 * time.Second
-	limitSlack     = 17000.0
+	retryRatio     = platformtest.RetryRatio
+	retryAllowance = platformtest.RetryExtra
+	retryWindow    = platformtest.RetryWindow
+	limitWindow    = platformtest.QuotaWindow
+	limitSlack     = platformtest.QuotaSlack
 	// limitOvershoot is the fraction by which usage may exceed a limit.
 	limitOvershoot = 0.1
 	// stabilizationTime is how long an instance must have been free of faults
@@ -41,8 +41,8 @@
 	// requestReadTime is the time after which an instance must have read a request.
 	requestReadTime = 200 * time.Millisecond
 	// minLeadershipGap is the minimum time between the orders of two planner
-	// leaders. It equals the lease of the settings.
-	minLeadershipGap = 3 * time.Second
+	// leaders.
+	minLeadershipGap = platformtest.Lease
 	// minServedShare is the minimum share of calls that are served before the faults and
 	// after recovery.
 	minServedShare = 0.9
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -39,7 +39,7 @@
 	// closeTime is the time within which both ends of a connection see that it is closed.
 	closeTime = 500 * time.Millisecond
 	// stopGrace is the time between SIGTERM and SIGKILL in a planned stop.
-	stopGrace = 8 * time.Second
+	stopGrace = platformtest.StopGrace
 	// rewriteDelay is the time from the return of a restored store until the operators'
 	// records are written again.
 	rewriteDelay = time.Second
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -10,38 +10,10 @@
 	"sync"
 	"syscall"
 
+	"github.com/crocushollow/crocushollow/platform/platformtest"
 	"github.com/crocushollow/crocushollow/standin/faultproxy"
 )
 
-// settingsTemplate is the settings file of an instance. Its bounds are those of
-// production sites, with a lower retry budget as a fleet this small requires.
-const settingsTemplate = `
-[instance]
-id = "%s"
-availability_zone = "%s"
-first_start = %t
-[limits]
-memory_mb = %d
-[listen]
-callers = "%s"
-readiness = "%s"
-discovery = "%s"
-peers = "%s"
-[store]
-address = "%s"
-min_ttl = "1000ms"
-[bounds]
-grace = "8s"
-retry_ratio = %g
-retry_extra = %g
-retry_window = "%s"
-quota_window = "%s"
-quota_slack = %g
-cold_overshoot = 1.5
-cold_slack = 5
-lease = "3000ms"
-`
-
 // process is an instance that runs as a separate operating system process.
 type process struct {
 	name      string
@@ -86,9 +58,11 @@
 // start starts the program. Restarts append to the same log file.
 func (p *process) start(isFirstStart bool) error {
 	file := filepath.Join(p.directory, p.name+".toml")
-	text := fmt.Sprintf(settingsTemplate, p.name, p.zone, isFirstStart, machineMemoryMB, p.callers, p.readiness, p.discovery, p.peers,
-		p.store.Address(), retryRatio, retryAllowance, retryWindow, limitWindow, limitSlack)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	settings := platformtest.InstanceSettings{
+		ID: p.name, AvailabilityZone: p.zone, IsFirstStart: isFirstStart, Store: p.store.Address(), MemoryMB: machineMemoryMB,
+		Callers: p.callers, Readiness: p.readiness, Discovery: p.discovery, Peers: p.peers,
+	}
+	if err := os.WriteFile(file, []byte(settings.String()), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(p.directory, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
