--- a/cmd/crocushollow/check.go
+++ b/cmd/crocushollow/check.go
@@ -16,12 +16,28 @@
 	"github.com/crocushollow/crocushollow/transport/console"
 )
 
+// check is one check of a demo.
+type check struct {
+	name string
+	run  func(context.Context) error
+}
+
+// runChecks runs the checks of a demo, up to the first that fails.
+func runChecks(ctx context.Context, checks []check) error {
+	for _, c := range checks {
+		started := time.Now()
+		if err := c.run(ctx); err != nil {
+			return fmt.Errorf("check failed: %s: %w", c.name, err)
+		}
+		fmt.Printf("ok  %-58s %6.2f s\n", c.name, time.Since(started).Seconds())
+	}
+	fmt.Printf("demo: %d checks passed\n", len(checks))
+	return nil
+}
+
 // check runs the checks against the site with HTTP clients.
 func (s *demoSite) check(ctx context.Context) error {
-	checks := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+	return runChecks(ctx, []check{
 		{"a streamed response is complete", s.checkStream},
 		{"an embedding request succeeds", s.checkEmbedding},
 		{"a repeated order runs exactly once", s.checkOrder},
@@ -32,16 +48,7 @@
 		{"an added model serves requests", s.checkAddedModel},
 		{"a withdrawn key is rejected and its streams end", s.checkKeyWithdrawal},
 		{"a graceful shutdown under load interrupts no request", s.checkGracefulShutdown},
-	}
-	for _, c := range checks {
-		started := time.Now()
-		if err := c.run(ctx); err != nil {
-			return fmt.Errorf("check failed: %s: %w", c.name, err)
-		}
-		fmt.Printf("ok  %-58s %6.2f s\n", c.name, time.Since(started).Seconds())
-	}
-	fmt.Printf("demo: %d checks passed\n", len(checks))
-	return nil
+	})
 }
 
 // firstAddress returns the caller address of the first instance.
--- a/cmd/crocushollow/platform.go
+++ b/cmd/crocushollow/platform.go
@@ -56,10 +56,7 @@
 // check runs the checks against the fleet with HTTP clients. They are the checks of
 // demoSite that the platform supports.
 func (d *platformDemo) check(ctx context.Context) error {
-	checks := []struct {
-		name string
-		run  func(context.Context) error
-	}{
+	return runChecks(ctx, []check{
 		{"a streamed response is complete", d.checkStream},
 		{"an interrupted stream resumes on another engine", d.checkResume},
 		{"an order runs exactly once", d.checkOrder},
@@ -70,16 +67,7 @@
 		{"an added route works on all instances", d.checkRoute},
 		{"a withdrawn key is rejected on all instances", d.checkKeyWithdrawal},
 		{"a graceful shutdown under load interrupts no request", d.checkGracefulShutdown},
-	}
-	for _, c := range checks {
-		started := time.Now()
-		if err := c.run(ctx); err != nil {
-			return fmt.Errorf("check failed: %s: %w", c.name, err)
-		}
-		fmt.Printf("ok  %-58s %6.2f s\n", c.name, time.Since(started).Seconds())
-	}
-	fmt.Printf("demo: %d checks passed\n", len(checks))
-	return nil
+	})
 }
 
 // send sends a request to an instance, by default with the key of the workspace.
