Pass resets of upstreams on as resets in the soak's proxy

Cause: the proxy between instances and engines closed the other side normally, so that a reset became the end of the bytes, which is the end of such a response. The instances see a reset as one.

Change: the proxy resets the other side. faultproxy, "passes a reset on as a reset", failed before.

--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -3,9 +3,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -190,6 +192,9 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
+		if errors.Is(err, syscall.ECONNRESET) {
+			reset(to)
+		}
 		if err != nil {
 			return
 		}
@@ -207,3 +212,11 @@
 		}
 	}
 }
+
+// reset closes a connection so that the peer does not take it for the end of the bytes.
+func reset(conn net.Conn) {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/standin/faultproxy/faultproxy_test.go
+++ b/standin/faultproxy/faultproxy_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -53,4 +54,28 @@
 		Entry("in both directions", faultproxy.Blackhole),
 		Entry("in one direction", faultproxy.DropResponses),
 	)
+
+	// Guards against a response that its upstream breaks off and that looks complete behind
+	// the proxy.
+	It("passes a reset on as a reset", func() {
+		target, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(target.Close)
+		proxy, err := faultproxy.Start("127.0.0.1:0", target.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(proxy.Close)
+		client, err := net.Dial("tcp", proxy.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(client.Close)
+		server, err := target.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(server, "first")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.ReadFull(client, make([]byte, len("first")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.(*net.TCPConn).SetLinger(0)).To(Succeed())
+		Expect(server.Close()).To(Succeed())
+		_, err = client.Read(make([]byte, 1))
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
 })
