--- a/standin/soaker/checker_upstreams.go
+++ b/standin/soaker/checker_upstreams.go
@@ -86,8 +86,8 @@
 		for instance, count := range counts {
 			j.result.MaxTrials = max(j.result.MaxTrials, count)
 			if count > bound {
-				j.fail("outlier", "%s sent %d requests to %s, which failed at each for %s, bound %d",
-					instance, count, broken.incarnation, broken.until.Sub(from), bound)
+				j.fail("outlier", "%s sent %d requests to %s, which failed at each for %s by behaviour %d, bound %d",
+					instance, count, broken.incarnation, broken.until.Sub(from), broken.behaviour, bound)
 			}
 		}
 	}
