Log on what grounds a call was accepted in a shutdown

Callers saw streams cut around SIGTERM. The log said that the shutdown cut them, but not whether they were accepted late, by which estimate, or as early calls because SIGTERM was handled late, so it could not tell the hypotheses of the postmortem apart.

The line of each call that was checked in a shutdown has the times since its begin and until its end, and the estimate. integration, "tells on what grounds a call was accepted in a shutdown", failed before, as the fields were missing.

--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -112,6 +112,10 @@
 	if record.Cause != nil {
 		line.AnErr("cause", record.Cause)
 	}
+	if check := record.Shutdown; check != nil {
+		line.Dur("shutdown_since", check.Since).Dur("shutdown_left", check.Left).
+			Bool("estimate_known", check.Estimate.IsKnown).Dur("estimate_longest", check.Estimate.Longest)
+	}
 	line.Stringer("response", record.End).Bool("caller_left", record.End == proxy.CallerLeft).Msg("call ended")
 }
 
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithDeadline(ctx, endsAt)
 	defer cancel()
 	i.shutdown.Store(&shutdownTimes{
-		callersMoveBy: now.Add(addressLifetime), earlyUntil: now.Add(grace / earlyDivisor), endsAt: endsAt,
+		beganAt: now, callersMoveBy: now.Add(addressLifetime), earlyUntil: now.Add(grace / earlyDivisor), endsAt: endsAt,
 	})
 	i.draining.Store(true)
 	i.logger.Info().Msg("shutdown begins")
@@ -66,7 +66,7 @@
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
-type shutdownTimes struct{ callersMoveBy, earlyUntil, endsAt time.Time }
+type shutdownTimes struct{ beganAt, callersMoveBy, earlyUntil, endsAt time.Time }
 
 // shutdownState implements proxy.Config.Shutdown.
 func (i *Instance) shutdownState() proxy.Shutdown {
@@ -76,7 +76,7 @@
 	}
 	fleet := i.gossiper.Fleet()
 	state := proxy.Shutdown{
-		CallersMoveBy: times.callersMoveBy, EarlyUntil: times.earlyUntil, EndsAt: times.endsAt,
+		BeganAt: times.beganAt, CallersMoveBy: times.callersMoveBy, EarlyUntil: times.earlyUntil, EndsAt: times.endsAt,
 		RetryAfter:     restartRetryAfter,
 		OthersReady:    len(fleet.Ready) > 0,
 		NearlyAllReady: len(fleet.Ready) > 0 && len(fleet.Ready) >= minReadyPerDraining*len(fleet.Draining),
--- a/integration/request_log_test.go
+++ b/integration/request_log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -101,6 +102,22 @@
 		))
 	})
 
+	// Guards against cut calls whose log does not tell whether they were accepted late, or early
+	// by a wrong estimate.
+	It("tells on what grounds a call was accepted in a shutdown", func() {
+		f, lines := startLoggedFleet()
+		f.Instances[0].Stop()
+		time.Sleep(100 * time.Millisecond)
+		answer := f.send(notesRequest())
+		Expect(answer.Status).To(Equal(200))
+		requestLines := lines.linesWith("request_id", answer.ID)
+		Expect(requestLines).To(HaveLen(1))
+		Expect(requestLines[0]).To(And(
+			HaveKeyWithValue("shutdown_since", BeNumerically("~", 100, 90)), HaveKeyWithValue("shutdown_left", BeNumerically("~", 7750, 90)),
+			HaveKey("estimate_known"), HaveKey("estimate_longest"),
+		))
+	})
+
 	// Guards against secrets in the log, also for requests with unknown keys.
 	It("contains no API key, request body or prompt", func() {
 		f, lines := startLoggedFleet()
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -75,6 +75,8 @@
 	QuotaState *allotter.LimitState
 	// Cause is the last failure.
 	Cause error
+	// Shutdown is nil if the call was not checked during a shutdown.
+	Shutdown *ShutdownCheck
 	// End is how the response ended.
 	End ResponseEnd
 }
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -12,6 +12,7 @@
 
 // Shutdown is the state of an instance's shutdown. It is zero before the shutdown.
 type Shutdown struct {
+	BeganAt time.Time
 	// CallersMoveBy is when the callers that keep addresses only for as long as they were
 	// told use other instances.
 	CallersMoveBy time.Time
@@ -34,14 +35,28 @@
 var errShuttingDown = rejecter.New(http.StatusServiceUnavailable, rejecter.InstanceShuttingDown,
 	"the instance is shutting down and the request may take longer than that")
 
+// ShutdownCheck is the last check of a call during the shutdown, by which it was accepted or
+// rejected.
+type ShutdownCheck struct {
+	// Since is the time since the shutdown began, and Left that until it ends.
+	Since, Left time.Duration
+	// Estimate is the zero value if the call's deadline comes before the end.
+	Estimate estimator.Estimate
+}
+
 // checkShutdown rejects a call that may not end before the instance stops.
 func (r *run) checkShutdown(now time.Time) *rejecter.Error {
 	shutdown := r.proxy.config.Shutdown()
-	if shutdown.EndsAt.IsZero() || !r.deadline.After(shutdown.EndsAt) {
+	if shutdown.EndsAt.IsZero() {
+		return nil
+	}
+	check := &ShutdownCheck{Since: now.Sub(shutdown.BeganAt), Left: shutdown.EndsAt.Sub(now)}
+	r.record.Shutdown = check
+	if !r.deadline.After(shutdown.EndsAt) {
 		return nil
 	}
-	estimate := r.proxy.config.Estimator.Estimate(r.estimatedRequest(), now)
-	if r.mayEndWithin(shutdown.EndsAt.Sub(now), estimate, &shutdown) {
+	check.Estimate = r.proxy.config.Estimator.Estimate(r.estimatedRequest(), now)
+	if r.mayEndWithin(check.Left, check.Estimate, &shutdown) {
 		return nil
 	}
 	return errShuttingDown.WithRetryAfter(shutdown.RetryAfter)
