Show streams that are accepted late in a stop and cut

Callers saw streams around SIGTERM without a whole answer. Two specs repeat it: streams of a route whose short ones only have ended, sent later than 3 s after the stop on new connections, and short streams on open connections until shortly before the end, of which the last take longer.

--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -28,9 +28,16 @@
 // callUntilGone sends a request to an instance at each interval, over connections that are
 // kept open, until its process refuses connections.
 func (f *hostedFleet) callUntilGone(n int, interval time.Duration, r platformtest.Request) []shutdownCall {
-	r.APIKey = platformtest.APIKey
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer client.CloseIdleConnections()
+	return f.callUntilGoneWith(client, n, interval, func(time.Duration) platformtest.Request { return r })
+}
+
+// callUntilGoneWith is like callUntilGone. It sends the requests with a client, and calls next
+// for each with the time since the stop of the instance.
+func (f *hostedFleet) callUntilGoneWith(
+	client *http.Client, n int, interval time.Duration, next func(after time.Duration) platformtest.Request,
+) []shutdownCall {
 	address := f.Instances[n].Settings.Listen.Callers
 	stoppedAt := time.Now()
 	f.Instances[n].Stop()
@@ -41,6 +48,8 @@
 	for !isGone && time.Since(stoppedAt) < 10*time.Second {
 		pending.Go(func() {
 			call := shutdownCall{after: time.Since(stoppedAt)}
+			r := next(call.after)
+			r.APIKey = platformtest.APIKey
 			call.Response, call.err = platformtest.SendWith(context.Background(), client, address, r)
 			mu.Lock()
 			defer mu.Unlock()
@@ -143,6 +152,97 @@
 	})
 })
 
+var _ = Describe("An instance that is stopped while another is ready", func() {
+	// excusedTime is the time after the stop up to which a request may be cut at the end of the
+	// grace period.
+	const excusedTime = 3 * time.Second
+
+	// startMixedFleet starts two instances with engines whose streams take 150 ms, and 6 s if
+	// their paths say so.
+	startMixedFleet := func() *hostedFleet {
+		GinkgoHelper()
+		f := startHostedFleet(2)
+		table := f.Table()
+		table.Version, table.TimeoutMs = table.Version+1, 15000
+		f.PutTable(table)
+		for _, id := range []string{"i-mixed-1", "i-mixed-2"} {
+			config := versionedEngine(id, "v1")
+			config.EventInterval, config.SlowEventInterval, config.Slots = 15*time.Millisecond, 600*time.Millisecond, 128
+			f.StartUpstream(config)
+		}
+		f.DeregisterUpstream("i-a")
+		f.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		return f
+	}
+	// streamFrom returns streams of which those that are sent from a time after the stop on
+	// are slow.
+	streamFrom := func(slowFrom time.Duration) func(after time.Duration) platformtest.Request {
+		return func(after time.Duration) platformtest.Request {
+			r := notesRequest()
+			r.Timeout = 15 * time.Second
+			if after >= slowFrom {
+				r.Path += platformtest.SlowSuffix
+			}
+			return r
+		}
+	}
+	expectNoLateCut := func(calls []shutdownCall) {
+		GinkgoHelper()
+		late := 0
+		for _, call := range calls {
+			if call.after <= excusedTime {
+				continue
+			}
+			late++
+			Expect(call.Status == http.StatusOK && !call.Complete).To(BeFalse(),
+				"stream sent after %s cut after %s and %d events", call.after, call.Duration, len(call.EventIDs()))
+		}
+		Expect(late).To(BeNumerically(">", 10))
+	}
+
+	// Guards against streams that an instance accepts late, because all of their route that
+	// have ended were shorter, and cuts.
+	It("cuts no stream that is sent when its callers know the other one", Label("known-red"), func() {
+		f := startMixedFleet()
+		expectNoLateCut(f.callUntilGoneWith(&http.Client{}, 0, 20*time.Millisecond, streamFrom(excusedTime)))
+	})
+
+	// Guards against short streams that an instance accepts on open connections until shortly
+	// before its end, and cuts if they take longer than usual.
+	It("cuts no stream that is sent on an open connection", Label("known-red"), func() {
+		const openConnections = 400
+		f := startMixedFleet()
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: openConnections}}
+		defer client.CloseIdleConnections()
+		address := f.Instances[0].Settings.Listen.Callers
+		var pending sync.WaitGroup
+		for range openConnections {
+			pending.Go(func() {
+				r := streamFrom(time.Hour)(0)
+				r.APIKey = platformtest.APIKey
+				_, _ = platformtest.SendWith(context.Background(), client, address, r)
+			})
+		}
+		pending.Wait()
+		// An order without an answer keeps the instance at work until its end.
+		f.SetBehaviour(func(e platformtest.Execution) platformtest.Behaviour {
+			if e.Body == orderRequest().Body {
+				return platformtest.Hang
+			}
+			return platformtest.Serve
+		})
+		pending.Go(func() {
+			r := orderRequest()
+			r.APIKey, r.Timeout = platformtest.APIKey, 14*time.Second
+			_, _ = platformtest.Send(context.Background(), address, r)
+		})
+		time.Sleep(100 * time.Millisecond)
+		expectNoLateCut(f.callUntilGoneWith(client, 0, 20*time.Millisecond, streamFrom(6500*time.Millisecond)))
+		pending.Wait()
+	})
+})
+
 var _ = Describe("The end of the grace period", func() {
 	const grace = 8 * time.Second
 
