Count a call in a stop from when its body was read

A call whose header came in the first 3 s after SIGTERM and whose body came later counted as early, so that it was accepted by a likelihood when 4 s or less were left, or when nothing was known of its route, and could be cut. Cause: the time of arrival is that of the header. Now it counts from when the whole request was read.

protocol/proxy, "are late if their bodies are", failed before: status 200 in place of 503.

--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -219,13 +219,18 @@
 var callNumber atomic.Int64
 
 func serve(p *proxy.Proxy, path, fault string) *recordingWriter {
+	return serveArrived(p, path, fault, time.Now())
+}
+
+// serveArrived is like serve. The header of the call arrived at the given time.
+func serveArrived(p *proxy.Proxy, path, fault string, arrivedAt time.Time) *recordingWriter {
 	writer := &recordingWriter{}
 	header := http.Header{}
 	if fault != "" {
 		header.Set("Fault", fault)
 	}
 	p.Serve(context.Background(), &proxy.Call{
-		ID: fmt.Sprint("r", callNumber.Add(1)), Host: "h", Method: http.MethodPost, Path: path, Target: path, Header: header, ArrivedAt: time.Now(),
+		ID: fmt.Sprint("r", callNumber.Add(1)), Host: "h", Method: http.MethodPost, Path: path, Target: path, Header: header, ArrivedAt: arrivedAt,
 	}, writer)
 	return writer
 }
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -191,7 +191,7 @@
 	ctx, span := tracer.Start(ctx, "call")
 	defer span.End()
 	span.SetAttributes(attribute.String("request_id", call.ID))
-	r := &run{proxy: p, call: call, writer: w, record: CallRecord{Call: call}}
+	r := &run{proxy: p, call: call, writer: w, readAt: p.config.Now(), record: CallRecord{Call: call}}
 	defer r.finish(ctx)
 	if apiErr := r.admit(); apiErr != nil {
 		r.writeError(apiErr)
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -17,9 +17,11 @@
 
 // run is the state of one call across its attempts.
 type run struct {
-	proxy       *Proxy
-	call        *Call
-	writer      ResponseWriter
+	proxy  *Proxy
+	call   *Call
+	writer ResponseWriter
+	// readAt is when the whole request had been read.
+	readAt      time.Time
 	route       *catalog.Route
 	workspace   *catalog.Workspace
 	fingerprint quarantiner.Fingerprint
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -70,7 +70,7 @@
 // is known of their route.
 func (r *run) mayEndWithin(left time.Duration, estimate estimator.Estimate, shutdown *Shutdown) bool {
 	switch {
-	case !r.call.ArrivedAt.Before(shutdown.CallersMoveBy):
+	case !r.readAt.Before(shutdown.CallersMoveBy):
 		return !shutdown.OthersReady && estimate.IsKnown && estimate.Longest <= left
 	case shutdown.OthersReady && r.route.Kind == catalog.NonIdempotent:
 		return estimate.HasSamples && estimate.Longest <= left
--- a/protocol/proxy/shutdown_test.go
+++ b/protocol/proxy/shutdown_test.go
@@ -74,4 +74,15 @@
 		Entry("late, some nearly slow", noneReady, true, mixed(4500*time.Millisecond), rejected, rejected),
 		Entry("late, few and short", allReady, true, []time.Duration{100 * time.Millisecond}, rejected, rejected),
 	)
+
+	// Guards against calls that count as early because their header was, and whose body came
+	// late.
+	It("are late if their bodies are", func() {
+		now := time.Now()
+		shutdown := proxy.Shutdown{CallersMoveBy: now.Add(-time.Second), EndsAt: now.Add(left), OthersReady: true}
+		p := startProxy(&faultySender{}, func(config *proxy.Config) {
+			config.Shutdown = func() proxy.Shutdown { return shutdown }
+		})
+		Expect(serveArrived(p, "/stream/a", "", now.Add(-2*time.Second)).status).To(Equal(rejected))
+	})
 })
