Count a call as ended when its response is written

Callers saw a stream cut at the end of a stop although its engine had completed it.

Cause: the gate that a stop waits for counted a call as ended when its handler returned. The server writes the last chunk after that, and the instance closed the connection 20 ms later at the end of the grace period. Class: a fixed pause in place of the event.

Change: the gate follows the states of the server's connections, so that a call ends when its response is written; the pause is gone.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -65,8 +65,6 @@
 	earlyDivisor = 4
 	// abortTimeout bounds the wait for aborted calls to end.
 	abortTimeout = 100 * time.Millisecond
-	// flushTime is the time from the end of a call until its response is flushed.
-	flushTime = 20 * time.Millisecond
 	// leaseMargin covers the network latency of an order.
 	leaseMargin = 150 * time.Millisecond
 	// dialTimeout bounds the opening of a connection to an upstream. It is many
@@ -231,11 +229,10 @@
 
 // ServeCall implements platform.CallHandler.
 func (i *Instance) ServeCall(request *http.Request, call *proxy.Call, caller proxy.ResponseWriter) {
-	if !i.calls.enter() {
+	if !i.calls.enter(request) {
 		caller.WriteError(errStopping.WithRetryAfter(i.shutdownState().RetryAfter))
 		return
 	}
-	defer i.calls.leave()
 	ctx, cancel := context.WithCancelCause(request.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(i.aborted, func() { cancel(proxy.ErrStopped) })
@@ -259,6 +256,7 @@
 	callers := newServer(platform.NewIngress(platform.IngressConfig{
 		Handler: i, Limits: i.requestLimits, IsDraining: i.draining.Load, Now: time.Now,
 	}))
+	i.calls.observe(callers)
 	servers := map[string]*http.Server{
 		i.settings.Listen.Callers:   callers,
 		i.settings.Listen.Readiness: newServer(platform.NewReadinessHandler(i.isReady)),
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/crocushollow/crocushollow/protocol/proxy"
@@ -59,10 +58,8 @@
 	defer cancel()
 	i.abort()
 	if err := i.calls.close(ctx); err != nil {
-		i.logger.Warn().Err(err).Msg("calls have not ended")
+		i.logger.Warn().Err(err).Int("calls", i.calls.count()).Msg("calls have not ended")
 	}
-	// The server flushes a response after its call has ended.
-	time.Sleep(flushTime)
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
@@ -87,52 +84,6 @@
 	return state
 }
 
-// callGate counts the calls in flight and rejects calls once it is closed.
-type callGate struct {
-	mu       sync.Mutex
-	inFlight int
-	isClosed bool
-}
-
-// enter admits a call, which must leave once. It returns false if the gate is closed.
-func (g *callGate) enter() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !g.isClosed {
-		g.inFlight++
-	}
-	return !g.isClosed
-}
-
-func (g *callGate) leave() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight--
-}
-
-// closeIfIdle closes the gate if no call is in flight, and reports whether it did.
-func (g *callGate) closeIfIdle() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.isClosed = g.isClosed || g.inFlight == 0
-	return g.isClosed
-}
-
-// close closes the gate once no call is in flight. It returns an error if the context ends
-// before.
-func (g *callGate) close(ctx context.Context) error {
-	ticker := time.NewTicker(idlePollInterval)
-	defer ticker.Stop()
-	for !g.closeIfIdle() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
