Refuse connections without a privilege before the listener closes

What callers saw: "connection reset by peer" on a new connection 3.5 s after SIGTERM, in a calm stop, where the log says "ignore handshakes: operation not permitted".

Cause: the listener was drained with a socket filter, and said that this needs no privilege. The kernel (6.18) asks for CAP_NET_ADMIN: of 40 capabilities tried one by one, only this one is enough. An instance that runs without it closed its listener at once, and the kernel reset the connections that waited to be accepted. Class: a right that tests have and operation does not.

Change: acceptor.Drain binds the listening socket to an interface that does not exist. SYNs find no listener, and the kernel refuses the connection; handshakes under way and accepted connections keep their binding. The first such binding of a socket needs no privilege. It replaces the filter. Callers that connect meanwhile are refused at once, where the filter let them wait 1 s for their next SYN. If the binding is refused nevertheless, the log says so as before.

Evidence: the specs of acceptor fail before: without capabilities with the error of the record, and with them because all 32 callers wait 1 s or more to be refused. Handshakes that are under way for 1 s complete (new spec, IPv4 and IPv6).

--- a/transport/acceptor/acceptor.go
+++ b/transport/acceptor/acceptor.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	// handshakeTime is the time in which a handshake that is under way completes. It is
-	// short, since callers that connect meanwhile wait for their next SYN.
+	// handshakeTime is the time in which a handshake that is under way completes.
 	handshakeTime = 20 * time.Millisecond
 	// pollInterval is the time between two checks of the accept queue.
 	pollInterval = 2 * time.Millisecond
@@ -27,8 +26,8 @@
 // read. It allows 25 MB/s to a caller at a distance of 10 ms.
 const sendBufferBytes = 256 << 10
 
-// Listen opens a listener that can be drained. It does not offer multipath TCP, whose sockets
-// take no filter.
+// Listen opens a listener that can be drained. It offers plain TCP only, for which Drain is
+// made.
 func Listen(ctx context.Context, address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: keepAlive,
@@ -39,7 +38,7 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// Drain makes the kernel ignore new connections, and returns once those under way are
+// Drain makes the kernel refuse new connections, and returns once those under way are
 // accepted, so that closing the listener resets none. The server must go on accepting
 // connections until then. An error means that the listener is unchanged, or that connections
 // still waited after drainTimeout or at the end of the context.
@@ -52,8 +51,8 @@
 	if err != nil {
 		return err
 	}
-	if err := ignoreHandshakes(conn); err != nil {
-		return fmt.Errorf("ignore handshakes: %w", err)
+	if err := refuseConnections(conn); err != nil {
+		return fmt.Errorf("refuse connections: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
--- a/transport/acceptor/acceptor_linux_test.go
+++ b/transport/acceptor/acceptor_linux_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"runtime"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +17,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 
 	"github.com/crocushollow/crocushollow/transport/acceptor"
 )
@@ -55,22 +60,59 @@
 		return true, err
 	}
 
-	// Guards against a closing listener that resets connections which wait to be accepted.
-	It("lets every established connection be accepted", func(ctx SpecContext) {
+	// listen opens a listener.
+	listen := func(ctx context.Context, address string) net.Listener {
+		listener, err := acceptor.Listen(ctx, address, net.KeepAliveConfig{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		return listener
+	}
+
+	// drainUnprivileged drains a listener on a thread without capabilities.
+	drainUnprivileged := func(ctx context.Context, listener net.Listener) error {
+		result := make(chan error, 1)
+		go func() {
+			// The thread ends with the goroutine, since that does not unlock it.
+			runtime.LockOSThread()
+			header := unix.CapUserHeader{Version: unix.LINUX_CAPABILITY_VERSION_3}
+			var none [2]unix.CapUserData
+			err := unix.Capset(&header, &none[0])
+			if err == nil {
+				err = acceptor.Drain(ctx, listener)
+			}
+			result <- err
+		}()
+		return <-result
+	}
+
+	// synRetransmitTime is the time after which the kernel repeats a SYN without an answer.
+	const synRetransmitTime = time.Second
+
+	// Guards against a closing listener that resets connections which wait to be accepted, also
+	// those of a process without privileges, and against callers that connect meanwhile and wait
+	// until their SYN is repeated.
+	DescribeTable("lets every established connection be accepted, and refuses others at once", func(ctx SpecContext,
+		drain func(ctx context.Context, listener net.Listener) error, address, host string,
+	) {
 		for range 5 {
-			listener, err := acceptor.Listen(ctx, "127.0.0.1:0", net.KeepAliveConfig{})
-			Expect(err).NotTo(HaveOccurred())
+			listener := listen(ctx, address)
 			go answer(listener)
-			var answered, lost atomic.Int64
+			_, port, err := net.SplitHostPort(listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			var answered, lost, late atomic.Int64
 			var callers sync.WaitGroup
 			for range 32 {
 				callers.Go(func() {
 					for {
-						isConnected, err := exchange(listener.Addr().String())
+						sentAt := time.Now()
+						isConnected, err := exchange(net.JoinHostPort(host, port))
 						switch {
 						case err == nil:
 							answered.Add(1)
 						case errors.Is(err, syscall.ECONNREFUSED):
+							if time.Since(sentAt) >= synRetransmitTime {
+								late.Add(1)
+							}
 							return
 						case isConnected || errors.Is(err, syscall.ECONNRESET):
 							lost.Add(1)
@@ -80,16 +122,93 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 			startedAt := time.Now()
-			Expect(acceptor.Drain(ctx, listener)).To(Succeed())
+			Expect(drain(ctx, listener)).To(Succeed())
 			Expect(time.Since(startedAt)).To(BeNumerically("<", time.Second))
 			Expect(listener.Close()).To(Succeed())
 			callers.Wait()
 			Expect(answered.Load()).To(BeNumerically(">", 32))
 			Expect(lost.Load()).To(BeZero())
+			Expect(late.Load()).To(BeZero())
 		}
-	}, SpecTimeout(time.Minute))
+	},
+		Entry("IPv4", SpecTimeout(time.Minute), acceptor.Drain, "127.0.0.1:0", "127.0.0.1"),
+		Entry("IPv6", SpecTimeout(time.Minute), acceptor.Drain, "[::1]:0", "::1"),
+		Entry("IPv4 at a listener for both", SpecTimeout(time.Minute), acceptor.Drain, ":0", "127.0.0.1"),
+		Entry("IPv4, without privileges", SpecTimeout(time.Minute), drainUnprivileged, "127.0.0.1:0", "127.0.0.1"),
+		Entry("IPv6, without privileges", SpecTimeout(time.Minute), drainUnprivileged, "[::1]:0", "::1"),
+	)
+
+	const maxTTL = 255
+
+	// Guards against a drain that also ends handshakes which began before it.
+	DescribeTable("lets a handshake that is under way complete", func(ctx SpecContext, network, address string) {
+		listener := listen(ctx, address)
+		go answer(listener)
+		// The caller ignores the response to its SYN, whose time to live is lower.
+		sockets := make(chan syscall.RawConn, 1)
+		dialer := net.Dialer{Control: func(_, _ string, conn syscall.RawConn) error {
+			sockets <- conn
+			return setMinTTL(conn, network, maxTTL)
+		}}
+		answered := make(chan error, 1)
+		go func() {
+			conn, err := dialer.DialContext(ctx, network, listener.Addr().String())
+			if err == nil {
+				defer conn.Close()
+				_, err = conn.Write([]byte{1})
+			}
+			if err == nil {
+				_, err = io.ReadFull(conn, make([]byte, 1))
+			}
+			answered <- err
+		}()
+		Eventually(func() int { return countHandshakes(listener) }).Should(Equal(1))
+		Expect(acceptor.Drain(ctx, listener)).To(Succeed())
+		Expect(answered).NotTo(Receive())
+		Expect(setMinTTL(<-sockets, network, 0)).To(Succeed())
+		Eventually(ctx, answered).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	},
+		Entry("IPv4", SpecTimeout(time.Minute), "tcp4", "127.0.0.1:0"),
+		Entry("IPv6", SpecTimeout(time.Minute), "tcp6", "[::1]:0"),
+	)
+
+	It("says what failed for a listener that is closed", func() {
+		listener := listen(context.Background(), "127.0.0.1:0")
+		Expect(listener.Close()).To(Succeed())
+		err := acceptor.Drain(context.Background(), listener)
+		Expect(err).To(MatchError(net.ErrClosed))
+		Expect(err).To(MatchError(ContainSubstring("refuse connections")))
+	})
 
 	It("returns an error for a listener that is not a socket", func() {
 		Expect(acceptor.Drain(context.Background(), struct{ net.Listener }{})).To(MatchError(errors.ErrUnsupported))
 	})
 })
+
+// setMinTTL sets the time to live below which a socket ignores segments.
+func setMinTTL(conn syscall.RawConn, network string, ttl int) error {
+	level, option := unix.IPPROTO_IP, unix.IP_MINTTL
+	if network == "tcp6" {
+		level, option = unix.IPPROTO_IPV6, unix.IPV6_MINHOPCOUNT
+	}
+	var optionErr error
+	err := conn.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), level, option, ttl) })
+	return errors.Join(err, optionErr)
+}
+
+// countHandshakes returns the number of handshakes that are under way at a listener.
+func countHandshakes(listener net.Listener) (count int) {
+	const synReceived = "03"
+	port := listener.Addr().(*net.TCPAddr).Port
+	for _, path := range []string{"/proc/net/tcp", "/proc/net/tcp6"} {
+		table, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		for line := range strings.Lines(string(table)) {
+			fields := strings.Fields(line)
+			if strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) && fields[3] == synReceived {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/transport/acceptor/socket_linux.go
+++ b/transport/acceptor/socket_linux.go
@@ -1,28 +1,22 @@
 package acceptor
 
 import (
+	"math"
+	"os"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-// ignoreHandshakes attaches a filter to a listening socket that drops the segments that
-// begin a handshake. The data of a TCP socket's filter begins at the TCP header.
-func ignoreHandshakes(conn syscall.RawConn) error {
-	const (
-		flagsOffset = 13
-		synFlag     = 0x02
-		acceptAll   = 0xffffffff
-	)
-	filter := []unix.SockFilter{
-		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flagsOffset},
-		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, K: synFlag, Jf: 1},
-		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
-		{Code: unix.BPF_RET | unix.BPF_K, K: acceptAll},
-	}
-	program := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
+// refuseConnections binds a listening socket to an interface that does not exist, so that the
+// kernel answers a SYN as if no socket listened. Handshakes under way and established
+// connections keep the binding with which they began. The kernel asks for no privilege if the
+// socket has not been bound to an interface before.
+func refuseConnections(conn syscall.RawConn) error {
+	const noInterface = math.MaxInt32
 	return control(conn, func(fd int) error {
-		return unix.SetsockoptSockFprog(fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+		return os.NewSyscallError("bind to no interface",
+			unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface))
 	})
 }
 
