Check planned work in the soak as the operators' rule does

Compared sentence by sentence, it passed over

- requests without a response within 0.2 s that upstreams had executed,
- cut responses whose upstream had sent all of them, or that were not executed, and responses with another status than 200,
- requests whose end came later than 3 s after SIGTERM, if their beginning came earlier,
- streams that were cut more than 10 s after they were sent, though their route's timeout is 12 s,
- all requests to an instance that had a fault at any time from 3 s before SIGTERM to its exit, also after the request, and to one that was restarted after an earlier planned stop,
- requests that the callers' transport repeated on another connection,
- cuts in the second after the grace period, around SIGHUP and beside changes of the table,
- resumed streams any of whose upstreams had broken off,
- disruptions of the links of any upstream, also of other services.

The check is now written after the rule, and is three checks: planned_stop, planned_reload and planned_edit. An instance that does not end by itself is killed at the end of the grace period, not up to seconds later. Connections to the store that are blackholed count as faults of the store, which excuse nothing.

Each case has a corrupted history in checker_test.go, and so has each excuse.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -52,7 +54,9 @@
 	// after earlyCancelTimeout already.
 	callTimeout     = 5 * time.Second
 	longCallTimeout = 14 * time.Second
-	// longRequestTimeout is the timeout that long requests name.
+	// routeTimeout is the timeout of the routes. longRequestTimeout is that of the routes of
+	// long calls, which their requests name too.
+	routeTimeout       = 2 * time.Second
 	longRequestTimeout = 12 * time.Second
 	earlyCancelShare   = 0.03
 	earlyCancelTimeout = 150 * time.Millisecond
@@ -133,37 +137,52 @@
 // refreshAddresses adds the addresses that the discovery endpoint of a random
 // instance returns.
 func (c *caller) refreshAddresses(ctx context.Context) {
+	fleet := c.soaker.fleet
+	if addresses, isKnown := resolve(ctx, c.client, fleet[c.random.IntN(len(fleet))]); isKnown {
+		c.addAddresses(addresses)
+	}
+}
+
+func (c *caller) addAddresses(addresses []string) {
+	c.resolvedAt = time.Now()
+	for _, known := range addresses {
+		if !slices.Contains(c.addresses, known) {
+			c.addresses = append(c.addresses, known)
+		}
+	}
+}
+
+func (c *caller) removeAddress(address string) {
+	c.addresses = slices.DeleteFunc(c.addresses, func(other string) bool { return other == address })
+}
+
+// resolve returns the addresses that the discovery endpoint of an instance returns, and
+// whether it has responded.
+func resolve(ctx context.Context, client *http.Client, p *process) ([]string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
-	fleet := c.soaker.fleet
-	address := fleet[c.random.IntN(len(fleet))].discovery
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/resolve?name="+platformtest.Host, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.discovery+"/resolve?name="+platformtest.Host, nil)
 	if err != nil {
-		return
+		return nil, false
 	}
-	response, err := c.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
-		return
+		return nil, false
 	}
 	defer response.Body.Close()
 	var body struct {
 		Addresses []string `json:"addresses"`
 	}
 	if json.NewDecoder(response.Body).Decode(&body) != nil {
-		return
-	}
-	c.resolvedAt = time.Now()
-	for _, known := range body.Addresses {
-		if !slices.Contains(c.addresses, known) {
-			c.addresses = append(c.addresses, known)
-		}
+		return nil, false
 	}
+	return body.Addresses, true
 }
 
 // call sends one attempt of a call after an earlier one, and records and returns its result.
 func (c *caller) call(ctx context.Context, address string, request platformtest.Request, earlier *call) call {
 	ended := call{
-		id: request.ID, kind: earlier.kind, path: request.Path, key: request.APIKey, instance: c.soaker.instanceAt(address), sentAt: time.Now(),
+		id: request.ID, kind: earlier.kind, path: request.Path, key: request.APIKey, instance: c.soaker.instanceAt(address),
 		chain: request.ID, firstEvent: earlier.lastEvent + 1, lastEvent: earlier.lastEvent,
 	}
 	if earlier.lastEvent > 0 {
@@ -176,19 +195,9 @@
 	case c.isLong:
 		wait = longCallTimeout
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	response, err := platformtest.SendWith(callCtx, c.client, address, request)
-	ended.endedAt = time.Now()
-	ended.canceled = callCtx.Err() != nil
-	ended.status, ended.body, ended.isComplete, ended.events = response.Status, response.Body, response.Complete, response.EventIDs()
-	ended.header, ended.versions = response.Header, response.SoftwareVersions()
-	if count := len(ended.events); count > 0 && response.Status == http.StatusOK {
-		ended.lastEvent = ended.events[count-1]
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		ended.refused = true
-		c.addresses = slices.DeleteFunc(c.addresses, func(other string) bool { return other == address })
+	ended.send(ctx, c.client, address, request, wait)
+	if ended.refused {
+		c.removeAddress(address)
 	}
 	if ctx.Err() == nil {
 		c.soaker.history.addCall(ended)
@@ -196,6 +205,64 @@
 	return ended
 }
 
+// send sends the request of a call, waits for its end and records its result.
+func (c *call) send(ctx context.Context, client *http.Client, address string, request platformtest.Request, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var trace sendTrace
+	c.sentAt = time.Now()
+	response, err := platformtest.SendWith(httptrace.WithClientTrace(ctx, trace.client()), client, address, request)
+	c.endedAt = time.Now()
+	c.canceled = ctx.Err() != nil
+	c.status, c.body, c.isComplete, c.events = response.Status, response.Body, response.Complete, response.EventIDs()
+	c.header, c.versions = response.Header, response.SoftwareVersions()
+	if count := len(c.events); count > 0 && response.Status == http.StatusOK {
+		c.lastEvent = c.events[count-1]
+	}
+	c.refused = errors.Is(err, syscall.ECONNREFUSED)
+	c.writtenAt, c.dropped = trace.result()
+}
+
+// sendTrace records when a request is sent. The transport sends a request again that may run
+// more than once if a kept connection ends without a response.
+type sendTrace struct {
+	mu        sync.Mutex
+	writtenAt time.Time
+	dropped   []drop
+}
+
+// drop is an attempt that ended without a response before the transport sent the request
+// again. The time at which its last byte was sent is zero if it was not.
+type drop struct{ writtenAt, endedAt time.Time }
+
+func (t *sendTrace) client() *httptrace.ClientTrace {
+	isSent := false
+	return &httptrace.ClientTrace{
+		GetConn: func(string) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if isSent {
+				t.dropped = append(t.dropped, drop{t.writtenAt, time.Now()})
+				t.writtenAt = time.Time{}
+			}
+			isSent = true
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if info.Err == nil {
+				t.writtenAt = time.Now()
+			}
+		},
+	}
+}
+
+func (t *sendTrace) result() (writtenAt time.Time, dropped []drop) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.writtenAt, t.dropped
+}
+
 // choose draws the next call at random. Each call has a unique path, so that no
 // instance takes it for an earlier request that crashed upstreams.
 func (c *caller) choose() (platformtest.Request, callKind) {
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -29,16 +29,27 @@
 	zoneTimeLimit  = 5 * time.Second
 	// responseTimeLimit and longResponseTimeLimit are the routes' timeouts plus a
 	// tolerance.
-	responseTimeLimit     = 2500 * time.Millisecond
-	longResponseTimeLimit = 12500 * time.Millisecond
-	// Requests that were sent within excusedSendTime after SIGTERM may be cut in the last
-	// sixth of the grace period, from excusedCutTime on.
+	responseTimeLimit     = routeTimeout + 500*time.Millisecond
+	longResponseTimeLimit = longRequestTimeout + 500*time.Millisecond
+	// Requests whose last byte was sent within excusedSendTime after SIGTERM may be cut in the
+	// last sixth of the grace period, from excusedCutTime on. stopSlack is the time after the
+	// grace period that still belongs to a stop.
 	excusedSendTime = 3 * time.Second
 	excusedCutTime  = stopGrace * 5 / 6
+	stopSlack       = time.Second
+	// reloadTimeLimit and editSlack bound the times after SIGHUP and after a change of the table
+	// in which cuts are attributed to them. Beside a change cuts must be more frequent than at
+	// other times by maxEditCutRatio, and calls must have used less than maxUsedShare of their
+	// time.
+	reloadTimeLimit = 2 * time.Second
+	editSlack       = time.Second
+	maxEditCutRatio = 3
+	maxUsedShare    = 0.7
 	// maxMixedStreams is the number of streams that may hold events of two software
 	// versions.
 	maxMixedStreams = 2
-	// requestReadTime is the time after which an instance must have read a request.
+	// requestReadTime is the time from the last byte of a request after which an instance must
+	// have read it.
 	requestReadTime = 200 * time.Millisecond
 	// minLeadershipGap is the minimum time between the orders of two planner
 	// leaders.
@@ -131,6 +142,7 @@
 		j.result.Orders += len(h.upstreams[i].orders)
 	}
 	j.checkCalls()
+	j.checkPlannedWork()
 	j.checkVersions()
 	j.checkUpstreams()
 	j.checkLimit()
--- a/standin/soaker/checker_calls.go
+++ b/standin/soaker/checker_calls.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/crocushollow/crocushollow/platform/platformtest"
 )
@@ -23,13 +22,12 @@
 		j.checkResponse(c)
 		duration := c.endedAt.Sub(c.sentAt)
 		limit := responseTimeLimit
-		if c.kind.isLong() {
+		if c.kind.timeLimit() == longRequestTimeout {
 			limit = longResponseTimeLimit
 		}
 		if duration > limit && !c.refused && j.isStable(c.instance, c.sentAt, c.endedAt) {
 			j.fail("answered_in_time", "%s %s took %s at %s", c.kind, c.id, duration, c.instance)
 		}
-		j.checkPlannedStop(c)
 	}
 }
 
@@ -123,50 +121,3 @@
 		j.result.BegunServed += isServed
 	}
 }
-
-// checkPlannedStop checks that an instance that shuts down gracefully answers the
-// requests that it has read.
-func (j *checker) checkPlannedStop(c *call) {
-	isCut := c.status == 0 && c.endedAt.Sub(c.sentAt) >= requestReadTime || c.status == 200 && !c.isComplete && j.isCutByInstance(c)
-	if !isCut || c.refused || c.canceled {
-		return
-	}
-	for _, stop := range j.plannedStops[c.instance] {
-		hadFault := slices.ContainsFunc(j.instanceFaults[c.instance], func(s interval) bool { return s.overlaps(stop.from.Add(-stabilizationTime), stop.until) })
-		isExcused := c.sentAt.Sub(stop.from) <= excusedSendTime && c.endedAt.Sub(stop.from) >= excusedCutTime && j.mayBeRunning(c)
-		if stop.overlaps(c.sentAt, c.endedAt) && !hadFault && !isExcused {
-			j.fail("planned_stop", "%s %s, sent %s after SIGTERM, was aborted by %s after %s",
-				c.kind, c.id, c.sentAt.Sub(stop.from), c.instance, c.endedAt.Sub(c.sentAt))
-		}
-	}
-}
-
-// mayBeRunning reports whether an upstream was at work on a call when it ended, or links to
-// upstreams were disrupted, so that the instance cannot know.
-func (j *checker) mayBeRunning(c *call) bool {
-	isRunning := slices.ContainsFunc(j.runs[c.id], func(run platformtest.Execution) bool {
-		return run.End == platformtest.Running || !run.EndedAt.Before(c.endedAt.Add(-closeTime))
-	})
-	return isRunning || hasOverlap(j.linkDisruptions, c.sentAt, c.endedAt)
-}
-
-// isCutByInstance reports whether the instance, and not an upstream, ended the response to
-// a call. At the route's timeout it may.
-func (j *checker) isCutByInstance(c *call) bool {
-	runs := j.runs[c.id]
-	if len(runs) == 0 || c.endedAt.Sub(c.sentAt) > maxCutTime {
-		return false
-	}
-	// A link that refuses connections closes the open ones: both ends see that of the other.
-	for _, upstream := range j.runAt[c.id] {
-		if hasOverlap(j.linkFaults[upstream], c.sentAt, c.endedAt) {
-			return false
-		}
-	}
-	return !slices.ContainsFunc(runs, func(run platformtest.Execution) bool { return run.End == platformtest.BrokenOff }) &&
-		runs[len(runs)-1].End == platformtest.Canceled
-}
-
-// maxCutTime is the time for which an instance has no reason to end the response to a long
-// call, whose route has a timeout of 12 s.
-const maxCutTime = 10 * time.Second
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -26,9 +26,9 @@
 func served(id string, k callKind, seconds float64) (call, platformtest.Execution) {
 	c := call{
 		id: id, chain: id, kind: k, path: platformtest.IdempotentPath, key: platformtest.APIKey, instance: "node-0",
-		sentAt: at(seconds), endedAt: at(seconds + 0.1), status: 200, body: platformtest.PlainResponseBody(id), isComplete: true,
+		sentAt: at(seconds), writtenAt: at(seconds), endedAt: at(seconds + 0.1), status: 200, body: platformtest.PlainResponseBody(id), isComplete: true,
 	}
-	if k == notes || k == advice {
+	if k.isStream() && !k.isLong() {
 		c.body, c.events = "", []int{1, 2, 3, 4, 5, 6}
 	}
 	return c, platformtest.Execution{ID: id, Header: http.Header{}, At: at(seconds + 0.05)}
@@ -54,6 +54,11 @@
 	return &h.calls[len(h.calls)-1]
 }
 
+// lastRun returns the execution that was added last.
+func (h *history) lastRun() *platformtest.Execution {
+	return &h.upstreams[0].runs[len(h.upstreams[0].runs)-1]
+}
+
 // addCutStream adds a long stream that the instance has cut.
 func (h *history) addCutStream(sent, cut float64) *call {
 	c := h.add(fmt.Sprint("cut-", sent), guide, sent)
@@ -97,7 +102,7 @@
 		Entry("a response after the route's timeout", "answered_in_time", func(h *history) { h.calls[0].endedAt = at(13) }),
 		Entry("a call aborted by a planned stop", "planned_stop", func(h *history) {
 			c := h.add("3", order, 20)
-			c.status, c.endedAt = 0, at(21)
+			c.status, c.isComplete, c.endedAt = 0, false, at(21)
 			h.addPlannedStop("node-0", interval{at(19), at(27)})
 		}),
 		Entry("a stream that a planned stop cuts after its first events", "planned_stop", func(h *history) {
@@ -108,6 +113,88 @@
 			h.addCutStream(22.5, 26)
 			h.addPlannedStop("node-0", interval{at(19), at(27)})
 		}),
+		Entry("a stream that a planned stop cuts at its end, though the end of its request came late", "planned_stop", func(h *history) {
+			h.addCutStream(21.5, 26.5).writtenAt = at(22.1)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that a planned stop cuts after the upstream has sent all of it", "planned_stop", func(h *history) {
+			h.addCutStream(20, 22)
+			h.lastRun().End = platformtest.Completed
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that a planned stop cuts at its end, though its upstream was done before", "planned_stop", func(h *history) {
+			h.addCutStream(21, 26.5)
+			h.lastRun().End, h.lastRun().EndedAt = platformtest.Completed, at(25)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that is cut at its end long after it was sent, before its route's timeout", "planned_stop", func(h *history) {
+			h.addCutStream(13, 24.5)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that goes on after its first upstream broke off, and is cut", "planned_stop", func(h *history) {
+			c := h.addCutStream(20, 23)
+			first := *h.lastRun()
+			first.At, first.End = c.sentAt, platformtest.BrokenOff
+			h.upstreams[0].runs = append(h.upstreams[0].runs, first)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a call that has run and gets no answer at once", "planned_stop", func(h *history) {
+			c := h.add("3", order, 20)
+			c.status, c.isComplete, c.endedAt = 0, false, at(20.1)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a call that has not run and gets no answer", "planned_stop", func(h *history) {
+			c := h.add("3", order, 20)
+			h.upstreams[0].runs = h.upstreams[0].runs[:2]
+			c.status, c.isComplete, c.endedAt = 0, false, at(20.3)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("an attempt that has run and gets no answer, and that the transport repeats", "planned_stop", func(h *history) {
+			h.add("3", lookUp, 20).dropped = []drop{{at(20), at(20.06)}}
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a rejection that ends before its body does", "planned_stop", func(h *history) {
+			c := h.add("3", lookUp, 20)
+			c.status, c.isComplete = 503, false
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream that is cut up to a second after the grace period", "planned_stop", func(h *history) {
+			h.addCutStream(27.5, 27.8)
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
+		Entry("a stream to an instance that was restarted shortly before its next stop", "planned_stop", func(h *history) {
+			h.addPlannedStop("node-0", interval{at(9), at(17.5)})
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+			h.addCutStream(19.5, 21)
+		}),
+		Entry("a stream that is cut in a stop, seconds after another fault of its instance", "planned_stop", func(h *history) {
+			h.addInstanceFault("node-0", at(16), at(17.5))
+			h.addPlannedStop("node-0", interval{at(18), at(26)})
+			h.addCutStream(21.5, 25.9)
+		}),
+		Entry("a stream that is cut in a stop, before another fault of its instance", "planned_stop", func(h *history) {
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+			h.addCutStream(19.5, 21)
+			h.addInstanceFault("node-0", at(22), at(23))
+		}),
+		Entry("a stream that is cut after SIGHUP", "planned_reload", func(h *history) {
+			h.addReload("node-0", at(19))
+			h.addCutStream(20.9, 27)
+		}),
+		Entry("a call that gets no answer after SIGHUP", "planned_reload", func(h *history) {
+			h.addReload("node-0", at(20.05))
+			c := h.add("3", order, 20)
+			c.status, c.isComplete = 0, false
+		}),
+		Entry("a stream that is cut beside a change of the table", "planned_edit", func(h *history) {
+			h.addEdit(edit{at: at(20), keys: []string{platformtest.APIKey}})
+			h.addCutStream(19, 22.9)
+		}),
+		Entry("streams that are cut beside a change of the table more often than at other times", "planned_edit", func(h *history) {
+			h.addEdit(edit{at: at(20), keys: []string{platformtest.APIKey}})
+			h.addCutStream(19, 22.9)
+			h.addCutStream(60, 61)
+		}),
 		Entry("streams with events of two software versions in one response", "one_version", func(h *history) {
 			for n := range 3 {
 				h.add(fmt.Sprint("mixed-", n), advice, 20).versions = []string{"v1", "v2"}
@@ -184,10 +271,47 @@
 		Expect(checkHistory(h).Violations).To(BeEmpty())
 		h.upstreams[0].runs = h.upstreams[0].runs[:len(h.upstreams[0].runs)-1]
 		Expect(checkHistory(h).Broken).To(HaveKey("planned_stop"))
-		h.addLinkDisruption(at(16), at(20))
+		h.upstreams = append(h.upstreams, upstream{id: "i-m", service: platformtest.ModelService})
+		h.addLinkDisruption("i-c", at(16), at(20))
+		Expect(checkHistory(h).Broken).To(HaveKey("planned_stop"))
+		h.addLinkDisruption("i-m", at(16), at(20))
 		Expect(checkHistory(h).Violations).To(BeEmpty())
 	})
 
+	DescribeTable("excuses cuts that the operators' rules for planned work do not count",
+		func(addCut func(*history)) {
+			h := validHistory()
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+			h.addReload("node-0", at(40))
+			h.addEdit(edit{at: at(50), keys: []string{platformtest.APIKey}})
+			addCut(h)
+			Expect(checkHistory(h).Violations).To(BeEmpty())
+		},
+		Entry("a stream that its instance cuts shortly after an unplanned fault", func(h *history) {
+			h.addCutStream(20, 22)
+			h.addInstanceFault("node-0", at(17), at(17.5))
+		}),
+		Entry("a stream that ends at its route's timeout", func(h *history) { h.addCutStream(12, 24) }),
+		Entry("a request that crosses the close of its connection and has not run", func(h *history) {
+			c := h.add("3", order, 20)
+			h.upstreams[0].runs = h.upstreams[0].runs[:2]
+			c.status, c.isComplete, c.endedAt = 0, false, at(20.19)
+		}),
+		Entry("a request that was not sent to its end and has not run", func(h *history) {
+			c := h.add("3", order, 20)
+			h.upstreams[0].runs = h.upstreams[0].runs[:2]
+			c.status, c.isComplete, c.writtenAt, c.endedAt = 0, false, time.Time{}, at(22)
+		}),
+		Entry("a stream that was sent later than two seconds after SIGHUP", func(h *history) { h.addCutStream(42.1, 43) }),
+		Entry("a stream that has used most of its time beside a change of the table", func(h *history) { h.addCutStream(43, 52) }),
+		Entry("streams that are cut as often beside a change of the table as at other times", func(h *history) {
+			h.addCutStream(50.5, 51)
+			for n := range 20 {
+				h.addCutStream(60+float64(n), 61+float64(n))
+			}
+		}),
+	)
+
 	It("excuses streams whose upstream's connections were closed on the way", func() {
 		h := validHistory()
 		h.addPlannedStop("node-0", interval{at(19), at(27)})
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -18,14 +18,18 @@
 	instanceFaults map[string][]interval
 	// storeLinkFaults holds the faults of each instance's connections to the store.
 	storeLinkFaults map[string][]interval
-	// plannedStops holds the graceful shutdowns of each instance, and storeFaults
+	// plannedStops holds the graceful shutdowns of each instance, from SIGTERM until its
+	// restart, and storeFaults
 	// the faults of the store that affect all instances.
 	plannedStops map[string][]interval
 	storeFaults  []interval
+	// reloads holds when instances got SIGHUP.
+	reloads map[string][]time.Time
 	// linkFaults holds when the connections to an upstream were refused or closed, by ID.
 	linkFaults map[string][]interval
-	// linkDisruptions holds when connections to any upstream were disrupted in any way.
-	linkDisruptions []interval
+	// linkDisruptions holds when the connections to an upstream were disrupted in any way, by
+	// ID.
+	linkDisruptions map[string][]interval
 	// edits holds the changes of the table, zoneOutages the times in which a zone
 	// was out of service, and drainedAt when an upstream announced that it drains.
 	edits       []edit
@@ -105,8 +109,13 @@
 	path     string
 	key      string
 	instance string
-	sentAt   time.Time
-	endedAt  time.Time
+	// sentAt is when the caller began to send the call, and writtenAt when it had sent its
+	// last byte, or zero.
+	sentAt    time.Time
+	writtenAt time.Time
+	endedAt   time.Time
+	// dropped holds the earlier attempts of the transport.
+	dropped []drop
 	// status is 0 if no response arrived.
 	status     int
 	header     http.Header
@@ -159,7 +168,7 @@
 func newHistory() *history {
 	return &history{
 		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
-		linkFaults:  make(map[string][]interval),
+		linkFaults: make(map[string][]interval), linkDisruptions: make(map[string][]interval), reloads: make(map[string][]time.Time),
 		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time), memory: make(map[string]int),
 	}
 }
@@ -217,10 +226,17 @@
 }
 
 // addLinkDisruption records that connections to an upstream are disrupted.
-func (h *history) addLinkDisruption(from, until time.Time) {
+func (h *history) addLinkDisruption(upstream string, from, until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.linkDisruptions = append(h.linkDisruptions, interval{from, until})
+	h.linkDisruptions[upstream] = append(h.linkDisruptions[upstream], interval{from, until})
+}
+
+// addReload records that an instance got SIGHUP.
+func (h *history) addReload(instance string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reloads[instance] = append(h.reloads[instance], at)
 }
 
 // addDrain records that an incarnation of an upstream announced that it drains.
--- a/standin/soaker/process_faults.go
+++ b/standin/soaker/process_faults.go
@@ -40,12 +40,18 @@
 			i.restartAfterExit(p, stoppedAt)
 			return
 		}
-		now := time.Now()
-		i.soaker.history.addPlannedStop(p.name, interval{stoppedAt, now})
-		i.scheduleRestart(p, now)
+		p.kill()
+		restartAt := time.Now().Add(time.Duration(i.random.ExpFloat64() * float64(meanRestartDelay)))
+		i.scheduled = append(i.scheduled, scheduledAction{restartAt, func() { i.restartAfterStop(p, stoppedAt) }})
 	}})
 }
 
+func (i *injector) restartAfterStop(p *process, stoppedAt time.Time) {
+	err := p.start(false)
+	i.soaker.history.addPlannedStop(p.name, interval{stoppedAt, time.Now()})
+	i.busy[p.name] = err != nil
+}
+
 // killProcess kills a process with SIGKILL and restarts it.
 func (i *injector) killProcess() {
 	if p := i.pickProcess(); p != nil {
--- a/standin/soaker/upstream_faults.go
+++ b/standin/soaker/upstream_faults.go
@@ -69,7 +69,7 @@
 		i.soaker.history.addLinkFault(id, from, at)
 	}
 	// Connections that have lost bytes stay silent afterwards.
-	i.soaker.history.addLinkDisruption(from, at.Add(longCallTimeout))
+	i.soaker.history.addLinkDisruption(id, from, at.Add(longCallTimeout))
 }
 
 // blackholeLink blackholes the open connections of one proxy, without an end.
@@ -77,12 +77,13 @@
 	if i.random.IntN(2) == 0 {
 		p := i.soaker.fleet[i.random.IntN(len(i.soaker.fleet))]
 		p.store.BlackholeOpenConnections()
-		i.soaker.history.addInstanceFault(p.name, time.Now(), time.Now())
+		i.soaker.history.addStoreLinkFault(p.name, time.Now(), time.Now())
 		return
 	}
-	if link := i.soaker.links[i.pickUpstream()]; link != nil {
+	id := i.pickUpstream()
+	if link := i.soaker.links[id]; link != nil {
 		link.proxy.BlackholeOpenConnections()
-		i.soaker.history.addLinkDisruption(time.Now(), time.Now().Add(longCallTimeout))
+		i.soaker.history.addLinkDisruption(id, time.Now(), time.Now().Add(longCallTimeout))
 	}
 }
 
