Load instances in the soak that are stopped soon after their start

Two more callers for each 16 send 67 streams a second each, of one route, most of them short and one in 20 of 5 to 7 s, half of them with a body in chunks. They keep many connections and use an address until it refuses connections. New faults stop an instance again soon after its restart, up to three times, and send SIGHUP with a changed settings file, also within the grace period.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -29,6 +29,8 @@
 	// guide and longAdvice are streams that last for seconds. The second may be resumed.
 	guide      callKind = "guide"
 	longAdvice callKind = "long_advice"
+	// paced is a stream that lasts for as long as its path names.
+	paced callKind = "paced"
 	// probe is a look-up on a route, or with a key, that table edits add and remove.
 	probe callKind = "probe"
 )
@@ -40,7 +42,7 @@
 func (k callKind) isResumable() bool { return k == advice || k == longAdvice }
 
 // isStream reports whether a call is a stream, and isLong whether it lasts for seconds.
-func (k callKind) isStream() bool { return k == notes || k == advice || k.isLong() }
+func (k callKind) isStream() bool { return k == notes || k == advice || k == paced || k.isLong() }
 
 func (k callKind) isLong() bool { return k == guide || k == longAdvice }
 
--- a/standin/soaker/checker_planned_work.go
+++ b/standin/soaker/checker_planned_work.go
@@ -127,7 +127,10 @@
 
 // service returns the service of a call's route.
 func (k callKind) service() string {
-	if k.isStream() {
+	switch {
+	case k == paced:
+		return platformtest.PacedService
+	case k.isStream():
 		return platformtest.ModelService
 	}
 	return platformtest.PlainService
@@ -146,7 +149,7 @@
 // timeLimit returns the timeout of a call's route, which is not longer than the one that its
 // request names.
 func (k callKind) timeLimit() time.Duration {
-	if k.isLong() {
+	if k.isLong() || k == paced {
 		return longRequestTimeout
 	}
 	return routeTimeout
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -105,6 +105,10 @@
 			c.status, c.isComplete, c.endedAt = 0, false, at(21)
 			h.addPlannedStop("node-0", interval{at(19), at(27)})
 		}),
+		Entry("a paced stream that a planned stop cuts after its first events", "planned_stop", func(h *history) {
+			h.addCutStream(22.1, 26.8).kind = paced
+			h.addPlannedStop("node-0", interval{at(19), at(27)})
+		}),
 		Entry("a stream that a planned stop cuts after its first events", "planned_stop", func(h *history) {
 			h.addCutStream(20, 22)
 			h.addPlannedStop("node-0", interval{at(19), at(27)})
--- a/standin/soaker/checker_upstreams.go
+++ b/standin/soaker/checker_upstreams.go
@@ -103,7 +103,7 @@
 // checkRetries checks the retry budget of each service. Every arrival of a call
 // after its first one counts as a retry.
 func (j *checker) checkRetries() {
-	for _, service := range []string{platformtest.ModelService, platformtest.PlainService} {
+	for _, service := range []string{platformtest.ModelService, platformtest.PlainService, platformtest.PacedService} {
 		var arrivals []platformtest.Arrival
 		for i := range j.upstreams {
 			if j.upstreams[i].service == service {
@@ -166,7 +166,7 @@
 			continue
 		}
 		tokens := tokensPerPlainCall
-		if c.kind.isStream() {
+		if c.kind.isStream() && c.kind != paced {
 			tokens = tokensPerModelCall
 		}
 		samples = append(samples, usageSample{runs[0].At, tokens})
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -194,12 +194,8 @@
 }
 
 func (h *history) addUpstream(engine *platformtest.Upstream) {
-	service := platformtest.PlainService
-	if engine.IsModelEngine() {
-		service = platformtest.ModelService
-	}
 	h.upstreams = append(h.upstreams, upstream{
-		id: engine.ID(), incarnation: engine.ID() + "/" + engine.Address(), zone: engine.Zone(), service: service, runs: engine.Executions(),
+		id: engine.ID(), incarnation: engine.ID() + "/" + engine.Address(), zone: engine.Zone(), service: engine.Service(), runs: engine.Executions(),
 		arrivals: engine.Arrivals(), orders: engine.ExecutedOrders(), faults: engine.LimitViolations(),
 	})
 }
--- a/standin/soaker/injector.go
+++ b/standin/soaker/injector.go
@@ -36,6 +36,11 @@
 	maxRollGap       = 1500 * time.Millisecond
 	maxSignalGap     = 5 * time.Second
 	exitPollInterval = 50 * time.Millisecond
+	// maxStops is the number of stops in a series of one process, and minUptime and maxUptime
+	// bound its time from a start to the next stop.
+	maxStops  = 3
+	minUptime = 500 * time.Millisecond
+	maxUptime = 2 * time.Second
 	// closeTime is the time within which both ends of a connection see that it is closed.
 	closeTime = 500 * time.Millisecond
 	// stopGrace is the time between SIGTERM and SIGKILL in a planned stop.
@@ -162,7 +167,7 @@
 		i.cutStoreLink, i.cutStoreLink, i.degradeStore, i.degradeStore, i.compactStore, i.moveLeadership,
 		i.degradeLink, i.degradeLink, i.blackholeLink, i.crashUpstream, i.drainUpstream,
 		i.editTable, i.editTable, i.takeZoneOut, i.limitUpstream, i.limitUpstream, i.restoreStore, i.breakControl,
-		i.breakUpstream, i.breakUpstream,
+		i.breakUpstream, i.breakUpstream, i.stopRepeatedly, i.stopRepeatedly, i.reloadProcess, i.reloadProcess,
 	}
 	faults[i.random.IntN(len(faults))]()
 }
--- a/standin/soaker/process.go
+++ b/standin/soaker/process.go
@@ -29,6 +29,10 @@
 	// store is the proxy between the instance and the platform's store.
 	store *faultproxy.Proxy
 
+	// settings is the text of the settings file. Only the goroutine of the injector uses it
+	// after the first start.
+	settings string
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
@@ -57,12 +61,13 @@
 
 // start starts the program. Restarts append to the same log file.
 func (p *process) start(isFirstStart bool) error {
-	file := filepath.Join(p.directory, p.name+".toml")
+	file := p.settingsFile()
 	settings := platformtest.InstanceSettings{
 		ID: p.name, AvailabilityZone: p.zone, IsFirstStart: isFirstStart, Store: p.store.Address(), MemoryMB: machineMemoryMB,
 		Callers: p.callers, Readiness: p.readiness, Discovery: p.discovery, Peers: p.peers,
 	}
-	if err := os.WriteFile(file, []byte(settings.String()), 0o600); err != nil {
+	p.settings = settings.String()
+	if err := os.WriteFile(file, []byte(p.settings), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(p.directory, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -92,6 +97,18 @@
 	return nil
 }
 
+func (p *process) settingsFile() string { return filepath.Join(p.directory, p.name+".toml") }
+
+// reload changes the text of the settings file and sends SIGHUP.
+func (p *process) reload() error {
+	p.settings += "# reloaded\n"
+	if err := os.WriteFile(p.settingsFile(), []byte(p.settings), 0o600); err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(signal syscall.Signal) {
 	p.mu.Lock()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -64,7 +64,7 @@
 	}
 	s := &Soaker{config: config, site: platformtest.NewPlatform(), links: make(map[string]*upstreamLink), history: newHistory()}
 	defer s.close()
-	s.history.limitRate = limitRate * float64(config.groups())
+	s.history.limitRate = (limitRate + pacedTokenRate) * float64(config.groups())
 	s.site.PutTable(s.initialTable())
 	s.startUpstreams()
 	for id, engine := range s.site.Upstreams() {
@@ -114,6 +114,10 @@
 		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))
 		group.Go(func() error { return newCaller(s, number, random).run(callersCtx) })
 	}
+	for number := range pacedCallersPerGroup * s.config.groups() {
+		random := rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1<<33))
+		group.Go(func() error { return newPacedCaller(s, random).run(callersCtx) })
+	}
 	err := s.runPhases(ctx)
 	stop()
 	return errors.Join(err, group.Wait())
