Judge a cut in the soak by the last stop before it

A cut now belongs to the last stop before it, if it comes within 9 s of its SIGTERM. The excuse of a stop holds only for requests that were sent before the restart, so a request to the restarted instance is never excused by the earlier SIGTERM. Three more histories in checker_test.go, for both directions.

--- a/standin/soaker/checker_planned_work.go
+++ b/standin/soaker/checker_planned_work.go
@@ -37,18 +37,10 @@
 
 // checkCut checks a lost request of an instance without unplanned faults.
 func (j *checker) checkCut(ended *cut, edits *editCuts) {
-	isStopping := false
-	for _, stop := range j.plannedStops[ended.instance] {
-		window := interval{stop.from, stop.from.Add(stopGrace + stopSlack)}
-		if !window.overlaps(ended.sentAt, ended.endedAt) {
-			continue
-		}
-		isStopping = true
-		if !j.isExcusedByStop(ended, stop.from) {
+	if stop, isStopping := j.lastStop(ended); isStopping {
+		if !j.isExcusedByStop(ended, stop) {
 			j.fail("planned_stop", "%s", ended.describe("SIGTERM", stop.from))
 		}
-	}
-	if isStopping {
 		return
 	}
 	for _, reload := range j.reloads[ended.instance] {
@@ -60,6 +52,18 @@
 	edits.add(ended)
 }
 
+// lastStop returns the last planned stop of the instance before the cut, and whether the cut
+// belongs to it.
+func (j *checker) lastStop(ended *cut) (interval, bool) {
+	var last interval
+	for _, stop := range j.plannedStops[ended.instance] {
+		if !stop.from.After(ended.endedAt) && stop.from.After(last.from) {
+			last = stop
+		}
+	}
+	return last, !ended.endedAt.After(last.from.Add(stopGrace + stopSlack))
+}
+
 // cuts returns the ends of a call's connections without a complete response.
 func (j *checker) cuts(c *call) []cut {
 	var ends []cut
@@ -105,9 +109,9 @@
 }
 
 // isExcusedByStop reports whether an upstream was still at work in the last sixth of the grace
-// period on a request that was sent soon after SIGTERM.
-func (j *checker) isExcusedByStop(ended *cut, stoppedAt time.Time) bool {
-	if ended.writtenAt.Sub(stoppedAt) > excusedSendTime || ended.endedAt.Sub(stoppedAt) < excusedCutTime {
+// period on a request that was sent soon after SIGTERM, and not to the restarted instance.
+func (j *checker) isExcusedByStop(ended *cut, stop interval) bool {
+	if ended.writtenAt.Sub(stop.from) > excusedSendTime || ended.endedAt.Sub(stop.from) < excusedCutTime || !ended.sentAt.Before(stop.until) {
 		return false
 	}
 	if ended.lastRun == nil {
--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -181,6 +181,15 @@
 			h.addCutStream(19.5, 21)
 			h.addInstanceFault("node-0", at(22), at(23))
 		}),
+		Entry("a stream to an instance that was restarted soon after SIGTERM", "planned_stop", func(h *history) {
+			h.addPlannedStop("node-0", interval{at(19), at(21)})
+			h.addCutStream(21.5, 26)
+		}),
+		Entry("a stream that the second of two stops cuts too early", "planned_stop", func(h *history) {
+			h.addPlannedStop("node-0", interval{at(19), at(21)})
+			h.addPlannedStop("node-0", interval{at(22), at(30)})
+			h.addCutStream(21.5, 26)
+		}),
 		Entry("a stream that is cut after SIGHUP", "planned_reload", func(h *history) {
 			h.addReload("node-0", at(19))
 			h.addCutStream(20.9, 27)
@@ -295,6 +304,11 @@
 			h.addCutStream(20, 22)
 			h.addInstanceFault("node-0", at(17), at(17.5))
 		}),
+		Entry("a stream that the second of two stops cuts at its end", func(h *history) {
+			h.addPlannedStop("node-0", interval{at(30), at(31)})
+			h.addPlannedStop("node-0", interval{at(32), at(40)})
+			h.addCutStream(31.5, 39.85)
+		}),
 		Entry("a stream that ends at its route's timeout", func(h *history) { h.addCutStream(12, 24) }),
 		Entry("a request that crosses the close of its connection and has not run", func(h *history) {
 			c := h.add("3", order, 20)
