Begin a backoff for failures of requests sent after the last one

Callers of a model whose only engine fails got 502 one after the other for half of the time, although the engine had failed nine times and more: a backoff lasts 1.2 s, and the ejection 2.4 s.

Cause: that a request was sent before the current backoff, and must not extend it, was told by whether the engine is ejected. So a failure after the backoff and within the ejection began no backoff, and a request that was sent before a backoff and failed after it began another one.

Change: reservations know when they were sent.

--- a/state/selector/health.go
+++ b/state/selector/health.go
@@ -55,9 +55,10 @@
 	unreachableCount int
 	// backoffCount counts the backoffs since the upstream has last served a request.
 	backoffCount int
-	// backoffUntil is when the upstream may be chosen again, and ejectedUntil when it may be
-	// although another one could serve the request.
-	backoffUntil, ejectedUntil time.Time
+	// backoffBeganAt is when the last backoff for a failure began, backoffUntil when the
+	// upstream may be chosen again, and ejectedUntil when it may be although another one could
+	// serve the request.
+	backoffBeganAt, backoffUntil, ejectedUntil time.Time
 	// trialLimit bounds the requests that have no response yet. It is 0 if there is no limit.
 	trialLimit int
 	// trials counts the requests without a response that began under a limit.
@@ -124,9 +125,9 @@
 	Backoff  time.Duration
 }
 
-// recordOutcome updates the health with the outcome of a request. It reports whether the
-// upstream is ejected for it.
-func (h *health) recordOutcome(outcome Outcome, now time.Time) bool {
+// recordOutcome updates the health with the outcome of a request that was sent at a time. It
+// reports whether the upstream is ejected for it.
+func (h *health) recordOutcome(outcome Outcome, sentAt, now time.Time) bool {
 	switch outcome {
 	case Served:
 		h.unreachableCount, h.backoffCount = 0, 0
@@ -138,22 +139,23 @@
 		h.addPenalty(now)
 	case Unreachable:
 		h.addPenalty(now)
-		return h.recordUnreachable(now)
+		return h.recordUnreachable(sentAt, now)
 	}
 	return false
 }
 
 // recordUnreachable begins a backoff. Requests that were sent before the current one began
 // count as failures, and do not extend it. It reports whether an ejection begins.
-func (h *health) recordUnreachable(now time.Time) bool {
+func (h *health) recordUnreachable(sentAt, now time.Time) bool {
 	h.unreachableCount++
 	isNew := h.trialLimit == 0
 	if h.unreachableCount >= minFailuresForTrials {
 		h.trialLimit = 1
 	}
-	if h.isEjected(now) {
+	if !sentAt.After(h.backoffBeganAt) {
 		return isNew && h.trialLimit > 0
 	}
+	h.backoffBeganAt = now
 	backoff := initialBackoff << min(h.backoffCount, maxBackoffDoublings)
 	h.backoffCount++
 	h.ejectedUntil = now.Add(min(backoff, maxEjection))
--- a/state/selector/outlier_test.go
+++ b/state/selector/outlier_test.go
@@ -147,6 +147,33 @@
 	})
 })
 
+var _ = Describe("The only engine of a model", func() {
+	// Guards against a backoff after which requests are sent one after the other until the
+	// ejection, which lasts longer, has ended too.
+	It("gets one request in each backoff while it fails", func() {
+		s := newSelector(topology(engine("e1", "za", m0)), 100)
+		var sent []time.Duration
+		for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+			if reservation, _ := s.Choose(request("m0", ""), start.Add(now)); reservation != nil {
+				reservation.Release(selector.Unreachable, start.Add(now))
+				sent = append(sent, now)
+			}
+		}
+		Expect(countBetween(sent, 8*time.Second, 20*time.Second)).To(BeNumerically("<=", 11))
+	})
+
+	// Guards against requests that were sent before a backoff began and make it longer.
+	It("is tried when its backoff ends although earlier requests fail late", func() {
+		s := newSelector(topology(engine("e1", "za", m0)), 100)
+		early, _ := s.Choose(request("m0", ""), start)
+		late, _ := s.Choose(request("m0", ""), start)
+		early.Release(selector.Unreachable, start.Add(10*time.Millisecond))
+		late.Release(selector.Unreachable, start.Add(200*time.Millisecond))
+		reservation, _ := s.Choose(request("m0", ""), start.Add(210*time.Millisecond))
+		Expect(reservation).NotTo(BeNil())
+	})
+})
+
 func countBetween(times []time.Duration, from, until time.Duration) int {
 	count := 0
 	for _, t := range times {
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -12,6 +12,7 @@
 		Upstream:      *c.upstream,
 		selector:      s,
 		candidate:     c,
+		sentAt:        now,
 		waitingTokens: c.uncachedTokens(request),
 		cacheTokens:   request.PromptTokens + request.OutputTokens,
 		isTrial:       c.health.beginTrial(),
@@ -35,6 +36,7 @@
 	Upstream  catalog.Upstream
 	selector  *Selector
 	candidate *candidate
+	sentAt    time.Time
 	// waitingTokens is the number of prompt tokens that still wait for prefill.
 	waitingTokens float64
 	// cacheTokens is the space in the KV cache that the request needs.
@@ -79,7 +81,7 @@
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
 	r.endTrial(outcome == Served)
-	if c.health.recordOutcome(outcome, now) {
+	if c.health.recordOutcome(outcome, r.sentAt, now) {
 		r.selector.config.OnHealthChange(HealthChange{
 			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.unreachableCount, Backoff: c.health.ejectedUntil.Sub(now),
 		})
