Eject upstreams for each kind of bad response, by comparison with others

The other way round, one request that breaks its connections again and again ejected all engines of its model.

Cause: an ejection asked whether an upstream was reached, and not whether it serves what others serve.

Change: state/selector decides by the incarnation, for all kinds. What is not a whole response to the request counts as a lost connection did, but once for equal requests and for a caller whose requests fail at the others too. Errors, unstated refusals and silence eject an upstream if they are too many for one that is as good as the others for the same model, adapter and caller at the same time. Without results of others they eject none. Bad responses do not end trials as successes any more. In the log and the counter of attempts a response to another request is unreachable now, not failed.

The spec of the load of one faulty engine has the same bounds for each kind now.

--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -25,7 +25,7 @@
 	r.mayHaveRun = true
 	if !response.Verified {
 		r.record.Cause = errNotVerified
-		return selector.Failed, r.afterFailure()
+		return selector.Broken, r.afterFailure()
 	}
 	if promisesNotRun(response.Status) {
 		r.record.Cause = errUnstatedRefusal
@@ -80,7 +80,6 @@
 	body := bounder.NewBuffer(r.proxy.buffered, bounder.Limit(response.Header, maxResponseBytes))
 	defer body.Release()
 	err := body.ReadAll(response.Body)
-	reservation.MarkFirstByte()
 	if err == nil && response.EndsWithConnection && r.proxy.hasEnded(&reservation.Upstream) {
 		err = errUpstreamEnded
 	}
@@ -92,7 +91,7 @@
 		if !errors.Is(err, bounder.ErrFull) {
 			r.recordCrash(&reservation.Upstream)
 		}
-		return selector.Unreachable, r.afterFailure()
+		return selector.Broken, r.afterFailure()
 	}
 	if response.Status >= http.StatusInternalServerError && r.mayRetryServerError() {
 		return selector.Failed, retry
@@ -107,16 +106,18 @@
 	if response.Status == http.StatusOK {
 		r.proxy.config.Parts.RecordCompletion(r.parts, r.proxy.config.Now())
 	}
+	outcome := selector.Failed
+	if response.Status < http.StatusInternalServerError {
+		outcome = selector.Served
+		reservation.MarkFirstByte()
+	}
 	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
 	if err := r.writer.Write(body.Bytes()); err != nil {
 		r.record.End = CallerLeft
-		return selector.Served, callerLeft
-	}
-	if response.Status >= http.StatusInternalServerError {
-		return selector.Failed, finished
+		return outcome, callerLeft
 	}
-	return selector.Served, finished
+	return outcome, finished
 }
 
 // mayRetryServerError reports whether a response with a 5xx status may be followed
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -76,6 +76,8 @@
 		PromptTokens: r.call.PromptTokens,
 		OutputTokens: r.call.expectedOutputTokens(),
 		Prefixes:     r.call.prefixes(),
+		Caller:       r.record.Workspace,
+		Fingerprint:  uint64(r.fingerprint),
 		IsResumable:  r.route.IsResumable(),
 	}
 	if apiErr := r.takeUp(ctx); apiErr != nil {
@@ -231,7 +233,7 @@
 }
 
 func resultName(outcome selector.Outcome) string {
-	return [...]string{"served", "abandoned", "refused", "failed", "unreachable"}[outcome]
+	return [...]string{"served", "abandoned", "refused", "failed", "unreachable", "unreachable"}[outcome]
 }
 
 func (r *run) lastEventID() string {
@@ -257,7 +259,7 @@
 		return selector.Unreachable, retry
 	}
 	r.recordCrash(&reservation.Upstream)
-	return selector.Unreachable, r.afterFailure()
+	return selector.Broken, r.afterFailure()
 }
 
 // handleCancellation classifies an attempt that ended because the caller
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -76,7 +76,7 @@
 	if !isGarbage {
 		r.recordCrash(&reservation.Upstream)
 	}
-	return selector.Unreachable, r.afterFailure()
+	return selector.Broken, r.afterFailure()
 }
 
 // callerError reports that a write to the caller failed.
--- a/state/selector/health.go
+++ b/state/selector/health.go
@@ -14,13 +14,18 @@
 	Abandoned
 	// Refused means that the upstream did not execute the request.
 	Refused
-	// Failed means that the response is an error or is incomplete.
+	// Failed means that the response is an error, does not belong to the request or did not
+	// come in time. The cause may be the request or its caller.
 	Failed
-	// Unreachable means that no connection could be opened or that the
-	// connection was lost.
+	// Unreachable means that the upstream did not get the request.
 	Unreachable
+	// Broken means that no whole response of the upstream to the request arrived. The cause
+	// may be the request.
+	Broken
 )
 
+func (o Outcome) isFailure() bool { return o == Failed || o == Unreachable || o == Broken }
+
 const (
 	// failurePenaltyMillis is the latency that a recent failure adds to the cost
 	// of an upstream.
@@ -51,8 +56,15 @@
 	// lastPenaltyMillis is the penalty as of decayedAt.
 	lastPenaltyMillis float64
 	decayedAt         time.Time
-	// unreachableCount counts consecutive failures to reach the upstream.
-	unreachableCount int
+	// failureCount counts the failures since the upstream has last served a request, and
+	// unreachableCount those to reach it.
+	failureCount, unreachableCount int
+	// comparison compares the failures with the results of other upstreams. It is nil if
+	// there are none.
+	comparison *comparison
+	// isFaulty means that the failures have shown the upstream to be faulty, and that it has
+	// not served a request since.
+	isFaulty bool
 	// backoffCount counts the backoffs since the upstream has last served a request.
 	backoffCount int
 	// backoffBeganAt is when the last backoff for a failure began, backoffUntil when the
@@ -125,31 +137,51 @@
 	Backoff  time.Duration
 }
 
-// recordOutcome updates the health with the outcome of a request that was sent at a time. It
-// reports whether the upstream is ejected for it.
-func (h *health) recordOutcome(outcome Outcome, sentAt, now time.Time) bool {
+// recordOutcome updates the health with the outcome of a request. It reports whether the
+// upstream is ejected for it.
+func (h *health) recordOutcome(a *attempt, outcome Outcome, now time.Time) bool {
 	switch outcome {
 	case Served:
-		h.unreachableCount, h.backoffCount = 0, 0
+		h.failureCount, h.unreachableCount, h.backoffCount = 0, 0, 0
+		h.comparison, h.isFaulty = nil, false
 		h.lastPenaltyMillis = h.penaltyMillis(now) / 2
 	case Abandoned:
 	case Refused:
 		h.extendBackoff(now.Add(refusalBackoff))
-	case Failed:
-		h.addPenalty(now)
-	case Unreachable:
+	case Failed, Unreachable, Broken:
 		h.addPenalty(now)
-		return h.recordUnreachable(sentAt, now)
+		h.recordFailure(a, outcome, now)
+		if h.isFaulty || outcome != Failed {
+			return h.beginBackoff(a.sentAt, now)
+		}
 	}
 	return false
 }
 
-// recordUnreachable begins a backoff. Requests that were sent before the current one began
+// recordFailure decides whether a failure shows that the upstream is faulty. One that does not
+// get the requests is, whatever they are.
+func (h *health) recordFailure(a *attempt, outcome Outcome, now time.Time) {
+	h.failureCount++
+	if outcome == Unreachable {
+		h.unreachableCount++
+	}
+	if h.isFaulty {
+		return
+	}
+	if h.comparison == nil || h.comparison.hasExpired(now) {
+		h.comparison = newComparison(now)
+	}
+	h.comparison.addFailure(a, outcome != Failed)
+	if h.unreachableCount >= minFailuresForTrials || h.comparison.showsFault() {
+		h.isFaulty, h.comparison = true, nil
+	}
+}
+
+// beginBackoff begins a backoff. Requests that were sent before the current one began
 // count as failures, and do not extend it. It reports whether an ejection begins.
-func (h *health) recordUnreachable(sentAt, now time.Time) bool {
-	h.unreachableCount++
+func (h *health) beginBackoff(sentAt, now time.Time) bool {
 	isNew := h.trialLimit == 0
-	if h.unreachableCount >= minFailuresForTrials {
+	if h.isFaulty {
 		h.trialLimit = 1
 	}
 	if !sentAt.After(h.backoffBeganAt) {
--- a/state/selector/outlier_test.go
+++ b/state/selector/outlier_test.go
@@ -22,6 +22,9 @@
 	soundTime, faultyTime time.Duration
 	// faultyUntil is the time at which the faulty engine becomes sound.
 	faultyUntil time.Duration
+	// outcome is that of requests at the faulty engine. Requests are of as many callers.
+	outcome selector.Outcome
+	callers int
 }
 
 // outlierRun is the result of a load.
@@ -56,7 +59,7 @@
 			isFaulty := r.reservation.Upstream.ID == "e1" && r.at < l.faultyUntil
 			switch {
 			case isFaulty && now-r.at >= l.faultyTime:
-				r.reservation.Release(selector.Unreachable, start.Add(now))
+				r.reservation.Release(l.outcome, start.Add(now))
 				result.failed = append(result.failed, r.number)
 			case !isFaulty && now-r.at >= l.soundTime:
 				r.reservation.MarkFirstByte()
@@ -75,6 +78,7 @@
 		waiting = slices.DeleteFunc(waiting, func(w pending) bool {
 			r := request("m0", "")
 			r.PromptTokens, r.IsWaiting = 10, now > w.at
+			r.Fingerprint, r.Caller = uint64(w.number+1), fmt.Sprint(w.number%l.callers)
 			if reservation, _ := s.Choose(r, start.Add(now)); reservation != nil {
 				running = append(running, pending{number: w.number, at: now, reservation: reservation})
 				return true
@@ -96,18 +100,115 @@
 	}
 
 	// Guards against calls that wait and are sent to a faulty engine together, whenever its
-	// backoff ends.
-	It("costs few requests, however many wait", func() {
-		result := load.run()
-		late := 0
-		for _, number := range result.failed {
-			if number >= 360 {
-				late++
+	// backoff ends, and against engines that are never ejected since they respond.
+	DescribeTable("costs few requests, however many wait",
+		func(outcome selector.Outcome, callers int) {
+			load.outcome, load.callers = outcome, callers
+			result := load.run()
+			late := 0
+			for _, number := range result.failed {
+				if number >= 360 {
+					late++
+				}
+			}
+			AddReportEntry("result", fmt.Sprintf("%d of 660 failed, %d of the last 300; %d refused", len(result.failed), late, result.refused))
+			Expect(len(result.failed)).To(BeNumerically("<=", 30))
+			Expect(late).To(BeNumerically("<=", 3))
+		},
+		Entry("if no request reaches it", selector.Unreachable, 1),
+		Entry("if no response is whole", selector.Broken, 1),
+		Entry("if no response is whole, for many callers", selector.Broken, 700),
+		Entry("if it answers with errors", selector.Failed, 1),
+		Entry("if it answers with errors, for many callers", selector.Failed, 700),
+	)
+})
+
+// poisonLoad sends requests to three sound engines, some of which fail wherever they are sent.
+type poisonLoad struct {
+	outcome selector.Outcome
+	// fingerprint returns that of a request, and isPoison whether it fails.
+	fingerprint func(number int) uint64
+	isPoison    func(number int) bool
+	// caller returns who sends a request.
+	caller func(number int) string
+}
+
+// maxEjected returns the largest number of engines that were ejected at the same time.
+func (l *poisonLoad) maxEjected() int {
+	s := newSelector(topology(engine("e1", "za", m0), engine("e2", "za", m0), engine("e3", "za", m0)), 100)
+	ejected := 0
+	for number := range 600 {
+		now := start.Add(time.Duration(number) * 20 * time.Millisecond)
+		r := request("m0", "")
+		r.Fingerprint, r.Caller = l.fingerprint(number), l.caller(number)
+		reservation, _ := s.Choose(r, now)
+		if reservation == nil {
+			continue
+		}
+		if l.isPoison(number) {
+			reservation.Release(l.outcome, now)
+		} else {
+			reservation.Release(selector.Served, now)
+		}
+		ejected = max(ejected, s.EjectedUpstreams())
+	}
+	return ejected
+}
+
+var _ = Describe("Sound engines", func() {
+	distinct := func(number int) uint64 { return uint64(number + 1) }
+	same := func(int) string { return "a" }
+
+	// Guards against engines that are ejected for the requests that they get.
+	DescribeTable("are not ejected",
+		func(load poisonLoad) {
+			for _, load.outcome = range []selector.Outcome{selector.Failed, selector.Broken} {
+				Expect(load.maxEjected()).To(BeZero(), "outcome %d", load.outcome)
 			}
+		},
+		Entry("for one request that is sent again and again", poisonLoad{
+			fingerprint: func(int) uint64 { return 1 }, isPoison: func(int) bool { return true }, caller: same,
+		}),
+		Entry("for one request among others", poisonLoad{
+			fingerprint: func(number int) uint64 {
+				if number%10 < 8 {
+					return 1
+				}
+				return distinct(number)
+			}, isPoison: func(number int) bool { return number%10 < 8 }, caller: same,
+		}),
+		Entry("for a caller whose requests all fail", poisonLoad{
+			fingerprint: distinct, isPoison: func(int) bool { return true }, caller: same,
+		}),
+		Entry("for a caller whose requests fail from some time on", poisonLoad{
+			fingerprint: distinct, isPoison: func(number int) bool { return number > 200 }, caller: same,
+		}),
+		Entry("for one of two callers whose requests all fail", poisonLoad{
+			fingerprint: distinct, isPoison: func(number int) bool { return number%2 == 0 },
+			caller: func(number int) string { return fmt.Sprint(number % 2) },
+		}),
+		Entry("for a caller of whose requests every other one fails", poisonLoad{
+			fingerprint: distinct, isPoison: func(number int) bool { return number%2 == 0 }, caller: same,
+		}),
+	)
+
+	// Guards against an incarnation that is ejected for the failures of the one before.
+	It("begin without the failures of the incarnation before", func() {
+		e1, e2 := engine("e1", "za", m0), engine("e2", "zb", m0)
+		s := newSelector(topology(e1, e2), 100)
+		for number := range 3 {
+			r := request("m0", "")
+			r.Fingerprint, r.Excluded = distinct(number), []string{"e2"}
+			now := start.Add(time.Duration(number) * 2 * time.Second)
+			reservation, _ := s.Choose(r, now)
+			Expect(reservation).NotTo(BeNil())
+			reservation.Release(selector.Broken, now)
 		}
-		AddReportEntry("result", fmt.Sprintf("%d of 660 failed, %d of the last 300; %d refused", len(result.failed), late, result.refused))
-		Expect(len(result.failed)).To(BeNumerically("<=", 30))
-		Expect(late).To(BeNumerically("<=", 3))
+		Expect(s.EjectedUpstreams()).To(Equal(1))
+		restarted := *e1
+		restarted.StartUnixMilli = 9
+		s.SetTopology(topology(&restarted, e2))
+		Expect(s.EjectedUpstreams()).To(BeZero())
 	})
 })
 
@@ -123,7 +224,7 @@
 	It("gets requests in steps", func() {
 		load := outlierLoad{
 			perSecond: 60, duration: 11 * time.Second, soundTime: 300 * time.Millisecond, faultyTime: 45 * time.Millisecond,
-			faultyUntil: 4 * time.Second,
+			faultyUntil: 4 * time.Second, outcome: selector.Unreachable, callers: 1,
 		}
 		served := load.run().servedByFirst
 		Expect(served).NotTo(BeEmpty())
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -12,7 +12,7 @@
 		Upstream:      *c.upstream,
 		selector:      s,
 		candidate:     c,
-		sentAt:        now,
+		attempt:       request.attempt(now),
 		waitingTokens: c.uncachedTokens(request),
 		cacheTokens:   request.PromptTokens + request.OutputTokens,
 		isTrial:       c.health.beginTrial(),
@@ -36,7 +36,7 @@
 	Upstream  catalog.Upstream
 	selector  *Selector
 	candidate *candidate
-	sentAt    time.Time
+	attempt   attempt
 	// waitingTokens is the number of prompt tokens that still wait for prefill.
 	waitingTokens float64
 	// cacheTokens is the space in the KV cache that the request needs.
@@ -81,9 +81,9 @@
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
 	r.endTrial(outcome == Served)
-	if c.health.recordOutcome(outcome, r.sentAt, now) {
+	if r.selector.recordOutcome(c, &r.attempt, outcome, now) {
 		r.selector.config.OnHealthChange(HealthChange{
-			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.unreachableCount, Backoff: c.health.ejectedUntil.Sub(now),
+			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.failureCount, Backoff: c.health.ejectedUntil.Sub(now),
 		})
 	}
 	r.selector.markChanged(c)
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -55,6 +55,10 @@
 	OutputTokens float64
 	// Prefixes are prefixes of the prompt, from the shortest to the longest.
 	Prefixes []Prefix
+	// Caller identifies who sends the request. It is empty if that is unknown.
+	Caller string
+	// Fingerprint is the same for equal requests of a caller. It is 0 if it is unknown.
+	Fingerprint uint64
 	// SoftwareVersion is the version of the software that the upstream must run, since it
 	// has begun the stream that the request continues. It is empty if any version may
 	// serve the request.
@@ -155,6 +159,8 @@
 	// changedLoads holds the upstreams where this instance's load has changed
 	// since the last call of LoadChanges.
 	changedLoads map[string]bool
+	// compared holds the candidates whose health has a comparison.
+	compared map[*candidate]bool
 }
 
 // candidate is an upstream with its load and its health.
@@ -192,6 +198,7 @@
 		candidates:   make(map[string]*candidate),
 		peers:        make(map[string]peer),
 		changedLoads: make(map[string]bool),
+		compared:     make(map[*candidate]bool),
 	}
 }
 
@@ -215,6 +222,7 @@
 		}
 	}
 	s.candidates = candidates
+	s.dropCompared()
 	s.recomputePeerLoads(time.Time{})
 }
 
