Do not take an error event of an engine for a token of a stream

Cause: the relay took each event with data for a token.

Change: an error event after other events is not sent and ends the attempt, so that another engine goes on after the last token. It is no crash. An error event before any other is the engine's answer; it is sent and ends the response, as a response with an error's status does.

--- a/integration/continuation_test.go
+++ b/integration/continuation_test.go
@@ -204,6 +204,13 @@
 	"a page as events":   answerEvents(errorPage),
 }
 
+// errorEvents are streams of an error.
+var errorEvents = map[string]func(attemptID string) string{
+	"an error event":             answerEvents(errorEvent),
+	"an error event and [DONE]":  answerEvents(errorEvent + doneEvent),
+	"an event of the type error": answerEvents("event: error\ndata: FAULT\n\n" + doneEvent),
+}
+
 // requestStream sends a stream request with a version of HTTP and returns the status and the
 // body of the response as they were sent.
 func (f *fleet) requestStream(p *daemonProcess, version string, prompt caller.Prompt) (int, string) {
@@ -363,4 +370,23 @@
 	// Guards against the bytes of a page, or of a compressed body, that count as events since
 	// they have blank lines.
 	It("has no bytes of another body with status 200", func() { checkAnswers(otherBodies) })
+
+	// Guards against an error event that counts as a token: the stream goes on after it with a
+	// token missing, or looks complete.
+	It("has no error event of an engine", func() { checkAnswers(errorEvents) })
+
+	// Guards against bytes of an answer that get into another stream.
+	It("has no bytes of any answer while many streams break off at once", func() {
+		answers := maps.Clone(continuationAnswers)
+		maps.Copy(answers, otherBodies)
+		maps.Copy(answers, errorEvents)
+		fault := setAnswers(answers)
+		names := slices.Sorted(maps.Keys(answers))
+		for range 2 {
+			f.earnRetries(20)
+			Expect(f.checkStreams(append(names, names...))).To(BeEmpty())
+		}
+		AddReportEntry("result", fmt.Sprintf("%d of %d answers given", len(fault.answered), len(answers)))
+		Expect(fault.answered).NotTo(BeEmpty())
+	})
 })
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -364,6 +364,8 @@
 		return nil
 	case errors.As(err, &callerErr):
 		return nil
+	case errors.Is(err, relayer.ErrErrorEvent):
+		return r.handleUnusable(lease, response, err)
 	case errors.Is(err, relayer.ErrMalformedEvent):
 		r.executor.config.Health.RecordFailure(lease.Upstream.ID)
 		return r.handleUnusable(lease, response, err)
--- a/protocol/relayer/relayer.go
+++ b/protocol/relayer/relayer.go
@@ -19,6 +19,8 @@
 	ErrNoEvents = errors.New("stream without data events")
 	// ErrMalformedEvent reports lines that are no fields of an event.
 	ErrMalformedEvent = errors.New("stream with lines that are no fields of an event")
+	// ErrErrorEvent reports an error event after other events of the stream.
+	ErrErrorEvent = errors.New("error event within the stream")
 )
 
 // CallerError reports that a write to the caller failed.
@@ -43,6 +45,7 @@
 	dataPrefix = []byte("data: ")
 	doneEvent  = []byte("data: [DONE]")
 	usageField = []byte(`"usage":{`)
+	errorField = []byte(`"error"`)
 )
 
 // Usage is the token usage that an engine reports.
@@ -60,7 +63,8 @@
 	// Usage is the last token usage that the engine reported, or nil if there
 	// was none.
 	Usage *Usage
-	// Done reports that the final event was sent.
+	// Done reports that the final event was sent. An error event that comes before any
+	// other is final.
 	Done bool
 }
 
@@ -159,6 +163,12 @@
 	case bytes.Equal(event, doneEvent):
 		progress.Done = true
 		return nil
+	case isErrorEvent(event):
+		if progress.Events > 0 {
+			return ErrErrorEvent
+		}
+		progress.Done = true
+		return nil
 	case !bytes.HasPrefix(event, dataPrefix):
 		if !hasFieldsOnly(event) {
 			return ErrMalformedEvent
@@ -176,6 +186,23 @@
 	return nil
 }
 
+// isErrorEvent reports whether an event is of the type error, or its data is an object that
+// has an error.
+func isErrorEvent(event []byte) bool {
+	if eventType, found := bytes.CutPrefix(event, []byte("event:")); found {
+		line, _, _ := bytes.Cut(eventType, []byte("\n"))
+		return string(bytes.TrimSpace(line)) == "error"
+	}
+	data, found := bytes.CutPrefix(event, dataPrefix)
+	if !found || !bytes.Contains(data, errorField) {
+		return false
+	}
+	var content struct {
+		Error any `json:"error"`
+	}
+	return json.Unmarshal(data, &content) == nil && content.Error != nil
+}
+
 // hasFieldsOnly reports whether each line of an event is a field, a comment or empty.
 func hasFieldsOnly(event []byte) bool {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/protocol/relayer/relayer_test.go
+++ b/protocol/relayer/relayer_test.go
@@ -103,6 +103,33 @@
 		Entry("compressed bytes", "\x1f\x8b\x08"),
 	)
 
+	// Guards against an error event that counts as a token of a stream, which would go on after
+	// it with a token missing.
+	DescribeTable("gives up a stream at an error event after other events", func(event string) {
+		Expect(relayer.New().Run(strings.NewReader(events+event+"\n\n"+done), out, &progress)).To(MatchError(relayer.ErrErrorEvent))
+		Expect(out.String()).To(Equal(events))
+		Expect(progress.Events).To(Equal(int64(2)))
+		Expect(progress.Done).To(BeFalse())
+	},
+		Entry("with an error object", `data: {"error": {"message":"fault"}}`),
+		Entry("with an error text", `data: {"object":"error","error":"fault"}`),
+		Entry("of the type error", "event: error\ndata: fault"),
+	)
+
+	It("forwards an error event that comes before any other as the whole answer", func() {
+		event := "data: {\"error\":{\"message\":\"fault\"}}\n\n"
+		Expect(relayer.New().Run(strings.NewReader(": x\n\n"+event+done), out, &progress)).To(Succeed())
+		Expect(out.String()).To(Equal(": x\n\n" + event))
+		Expect(progress.Events).To(BeZero())
+	})
+
+	It("forwards events that speak of an error and have none", func() {
+		text := `data: {"error":null,"a":1}` + "\n\n" + `data: {"a":"the \"error\" field","b":{"error":1}}` + "\n\n" + done
+		Expect(relayer.New().Run(strings.NewReader(text), out, &progress)).To(Succeed())
+		Expect(out.String()).To(Equal(text))
+		Expect(progress.Events).To(Equal(int64(2)))
+	})
+
 	It("forwards events that have fields and no data", func() {
 		text := ": x\n\nevent: ping\ndata:1\n\nretry: 10\n\nid: 1\r\n: y\n\n\n\n" + events + done
 		Expect(relayer.New().Run(strings.NewReader(text), out, &progress)).To(Succeed())
