--- a/coordination/observer/observer_test.go
+++ b/coordination/observer/observer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -126,6 +127,13 @@
 	}
 }
 
+// clone returns a feed with the same changes.
+func (f *feed) clone() *feed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return &feed{changes: slices.Clone(f.changes), era: f.era, first: f.first}
+}
+
 // compact removes all current changes from those that Follow can return.
 func (f *feed) compact() {
 	f.mu.Lock()
--- a/coordination/observer/reader.go
+++ b/coordination/observer/reader.go
@@ -138,9 +138,10 @@
 	}
 	// The response may have been sent any time after the wait.
 	age := max(now.Sub(call.startedAt)-call.wait, 0)
-	changes := r.filter.apply(call.batch.Changes, now)
+	relayed := r.relayedBatch(call, now)
 	if call.relays {
-		r.observer.relay(RelayedBatch{Source: r.source, From: call.from, Next: call.batch.Next, Changes: changes, IsComplete: true, Age: age})
+		relayed.Age = age
+		r.observer.config.Relay(relayed)
 	}
 	r.advance(call.batch.Next, now.Add(-age))
 	r.retryDelay, r.failures = minRetryDelay, 0
@@ -154,6 +155,18 @@
 	return e
 }
 
+// relayedBatch returns what the other instances get of the result of a call. Of a snapshot they
+// get a part, and its end as the position from which they have all changes.
+func (r *feedReader) relayedBatch(call *feedCall, now time.Time) RelayedBatch {
+	batch := RelayedBatch{Source: r.source, From: call.from, Next: call.batch.Next}
+	if call.from < 0 {
+		batch.From, batch.Changes = batch.Next, r.filter.applySnapshot(call.batch.Changes, now)
+		return batch
+	}
+	batch.Changes, batch.IsComplete = r.filter.apply(call.batch.Changes, now), true
+	return batch
+}
+
 // handleFailure sets when the next call is made after a failed one.
 func (r *feedReader) handleFailure(err error, now time.Time) {
 	if errors.Is(err, ErrExpired) {
@@ -241,12 +254,3 @@
 	defer cancel()
 	return f.Follow(ctx, from, wait)
 }
-
-// relay relays the changes of a call. For a snapshot it relays only the position at
-// which the snapshot ends.
-func (o *Observer) relay(batch RelayedBatch) {
-	if batch.From < 0 {
-		batch.From, batch.Changes, batch.IsComplete = batch.Next, nil, false
-	}
-	o.config.Relay(batch)
-}
--- a/coordination/observer/relay.go
+++ b/coordination/observer/relay.go
@@ -1,7 +1,9 @@
 package observer
 
 import (
+	"cmp"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/crocushollow/crocushollow"
@@ -29,7 +31,7 @@
 	// Age is how long before it was relayed the store may have sent the batch.
 	Age time.Duration
 	// IsComplete means that Changes has all that the other instances need. Otherwise
-	// they read the changes themselves.
+	// they read the changes themselves, if they can.
 	IsComplete bool
 }
 
@@ -64,6 +66,10 @@
 type changeFilter struct {
 	newest   map[string]knownRegistration
 	departed departures
+	// tableVersion is the newest version of the table.
+	tableVersion int64
+	// hasSnapshot means that a snapshot was applied.
+	hasSnapshot bool
 }
 
 func newChangeFilter() changeFilter {
@@ -81,12 +87,46 @@
 			kept = append(kept, f.deregister(change, now))
 		case change.Upstream != nil && !f.hasChanged(change.Upstream):
 		default:
+			f.isNewTable(change.Catalog)
 			kept = append(kept, change)
 		}
 	}
 	return kept
 }
 
+// applySnapshot returns the changes of a snapshot that instances which cannot read the feed
+// may not know, in the order of their positions: the zones out of service, and what this
+// instance has not known. Other instances read their first snapshot themselves.
+func (f *changeFilter) applySnapshot(changes []Change, now time.Time) []Change {
+	var kept []Change
+	for _, change := range changes {
+		isNew := f.isNewTable(change.Catalog)
+		switch {
+		case change.DeregisteredUpstream != "":
+			_, isNew = f.newest[change.DeregisteredUpstream]
+			change = f.deregister(change, now)
+		case change.Upstream != nil:
+			isNew = f.hasChanged(change.Upstream)
+		}
+		if change.Zone != "" || isNew && f.hasSnapshot {
+			kept = append(kept, change)
+		}
+	}
+	f.hasSnapshot = true
+	slices.SortFunc(kept, func(a, b Change) int { return cmp.Compare(a.Position, b.Position) })
+	return kept
+}
+
+// isNewTable reports whether a table is newer than all before it. It returns false without a
+// table.
+func (f *changeFilter) isNewTable(table *catalog.Catalog) bool {
+	if table == nil || table.Version() <= f.tableVersion {
+		return false
+	}
+	f.tableVersion = table.Version()
+	return true
+}
+
 // deregister returns the change with the newest registration that is known of the
 // upstream.
 func (f *changeFilter) deregister(change Change, now time.Time) Change {
--- a/coordination/observer/restore_test.go
+++ b/coordination/observer/restore_test.go
@@ -1,6 +1,7 @@
 package observer_test
 
 import (
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -100,4 +101,106 @@
 		follower.observer.HandleRelayed(batch)
 		Eventually(follower.version, time.Second).Should(Equal(int64(5)))
 	})
+
+	// isolate starts a watcher, and a follower that has read the feeds and cannot reach them
+	// any more.
+	isolate := func(operators, upstreams *feed) *fixture {
+		ownOperators, ownUpstreams := operators.clone(), upstreams.clone()
+		follower := startAs(false, ownOperators, ownUpstreams, func(observer.RelayedBatch) {})
+		Eventually(follower.version, "2s").Should(Equal(int64(1)))
+		Eventually(follower.ids, "2s").Should(ConsistOf("e2"))
+		ownOperators.setUnreachable(true)
+		ownUpstreams.setUnreachable(true)
+		watcher := startAs(true, operators, upstreams, follower.observer.HandleRelayed)
+		Eventually(watcher.version, "2s").Should(Equal(int64(1)))
+		Eventually(watcher.ids, "2s").Should(ConsistOf("e2"))
+		return follower
+	}
+	// replace restores a feed with changes that the watcher reads in one snapshot.
+	replace := func(f *feed, count int, changes ...observer.Change) {
+		f.setUnreachable(true)
+		f.restore(count)
+		f.add(changes...)
+		f.setUnreachable(false)
+	}
+
+	// Guards against an instance without a connection to the store that sends requests to a
+	// zone out of service, because the others have read of it in a snapshot.
+	It("tells instances that cannot read the feed of zones out of service", func() {
+		operators, upstreams := &feed{}, &feed{}
+		operators.add(version(1))
+		upstreams.add(upstream("e2", 1))
+		follower := isolate(operators, upstreams)
+		replace(operators, 1, observer.Change{Zone: "za"})
+		Eventually(func() map[string]bool { return follower.observer.View().ZonesOutOfService }, "2s").Should(HaveKey("za"))
+	})
+
+	// Guards against an instance without a connection to the store that sends requests to a
+	// draining upstream, and keeps an earlier table, because the others have read of them in a
+	// snapshot.
+	It("tells instances that cannot read the feed of changed upstreams and of a newer table", func() {
+		operators, upstreams := &feed{}, &feed{}
+		operators.add(version(1))
+		upstreams.add(upstream("e2", 1))
+		follower := isolate(operators, upstreams)
+		replace(upstreams, 1, draining("e2", 2))
+		replace(operators, 1, version(2))
+		Eventually(isDraining(follower, "e2"), "2s").Should(BeTrue())
+		Eventually(follower.version, "2s").Should(Equal(int64(2)))
+	})
+
+	// Guards against a zone out of service that is relayed only by those who have not known it.
+	It("tells them of zones out of service that others have known before", func() {
+		operators, upstreams := &feed{}, &feed{}
+		operators.add(version(1))
+		upstreams.add(upstream("e2", 1))
+		var target atomic.Pointer[observer.Observer]
+		own := operators.clone()
+		watcher := startAs(true, operators, upstreams, func(r observer.RelayedBatch) {
+			if to := target.Load(); to != nil {
+				to.HandleRelayed(r)
+			}
+		})
+		operators.add(observer.Change{Zone: "za"})
+		Eventually(func() map[string]bool { return watcher.observer.View().ZonesOutOfService }, "2s").Should(HaveKey("za"))
+		follower := startAs(false, own, upstreams, func(observer.RelayedBatch) {})
+		Eventually(follower.version, "2s").Should(Equal(int64(1)))
+		own.setUnreachable(true)
+		target.Store(follower.observer)
+		replace(operators, 1, observer.Change{Zone: "za"})
+		Eventually(func() map[string]bool { return follower.observer.View().ZonesOutOfService }, "2s").Should(HaveKey("za"))
+	})
+
+	// Guards against an instance that learns of a zone out of service from none that starts.
+	It("tells them of zones out of service that the first snapshot has", func() {
+		operators, upstreams := &feed{}, &feed{}
+		operators.add(version(1))
+		upstreams.add(upstream("e2", 1))
+		follower := isolate(operators, upstreams)
+		later := operators.clone()
+		later.add(observer.Change{Zone: "za"})
+		startAs(true, later, upstreams, follower.observer.HandleRelayed)
+		Eventually(func() map[string]bool { return follower.observer.View().ZonesOutOfService }, "2s").Should(HaveKey("za"))
+	})
+
+	// Guards against messages that carry the whole content of the feeds to all instances
+	// whenever one reads them anew.
+	It("does not relay what others know", func() {
+		operators, upstreams := &feed{}, &feed{}
+		operators.add(version(1))
+		upstreams.add(upstream("e1", 1), upstream("e1", 2), upstream("e1", 3))
+		var relayed atomic.Int64
+		f := startAs(true, operators, upstreams, func(r observer.RelayedBatch) { relayed.Add(int64(len(r.Changes))) })
+		Eventually(f.ids, "2s").Should(ConsistOf("e1"))
+		Eventually(f.version, "2s").Should(Equal(int64(1)))
+		upstreams.add(upstream("e1", 4), upstream("e1", 5))
+		before := upstreams.calls.Load()
+		Eventually(upstreams.calls.Load, "3s").Should(BeNumerically(">=", before+2))
+		relayed.Store(0)
+		replace(upstreams, 3, upstream("e1", 6))
+		replace(operators, 1)
+		before = upstreams.calls.Load()
+		Eventually(upstreams.calls.Load, "5s").Should(BeNumerically(">=", before+4))
+		Expect(relayed.Load()).To(BeZero())
+	})
 })
--- a/daemon/hosted/feeds.go
+++ b/daemon/hosted/feeds.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// feedUpdates splits a batch into messages that continue each other.
+// feedUpdates splits a batch into messages that continue each other. Those of an incomplete
+// batch all end where it does.
 func feedUpdates(batch observer.RelayedBatch, now time.Time) []gossiper.FeedUpdate {
 	size := maxRelayedChanges
 	if batch.Source == observer.Operators {
@@ -65,7 +66,7 @@
 	from, left := batch.From, len(batch.Changes)
 	for changes := range slices.Chunk(batch.Changes, size) {
 		next := changes[len(changes)-1].Position + 1
-		if left -= len(changes); left == 0 {
+		if left -= len(changes); left == 0 || !batch.IsComplete {
 			next = batch.Next
 		}
 		update := gossiper.FeedUpdate{Source: string(batch.Source), From: from, Next: next, IsComplete: batch.IsComplete, Age: batch.Age}
--- a/daemon/hosted/feeds_test.go
+++ b/daemon/hosted/feeds_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// Guards against an instance that takes a part of a snapshot for all changes up to its position.
+func TestFeedUpdatesOfSnapshotsEndWithThem(t *testing.T) {
+	batch := observer.RelayedBatch{Source: observer.Upstreams, From: 400, Next: 400}
+	for i := range crocushollow.Position(60) {
+		batch.Changes = append(batch.Changes, observer.Change{Position: 110 + i, Upstream: &catalog.Upstream{ID: fmt.Sprint("i-", i)}})
+	}
+	count := 0
+	for _, received := range receive(t, feedUpdates(batch, time.Now()), time.Now()) {
+		if received.From != 400 || received.Next != 400 || received.IsComplete {
+			t.Errorf("message from %d to %d, complete %v", received.From, received.Next, received.IsComplete)
+		}
+		count += len(received.Changes)
+	}
+	if count != len(batch.Changes) {
+		t.Errorf("%d changes", count)
+	}
+}
+
 func TestFeedUpdatesCarryTheTable(t *testing.T) {
 	record := []byte(`{"version":7,"routes":[],"services":[]}`)
 	batch := observer.RelayedBatch{Source: observer.Operators, From: 4, Next: 6, IsComplete: true, Changes: []observer.Change{
