Continue a stream with events that have IDs only

The same answer to a caller that takes a stream up looked like the rest of the stream.

Cause: the order of events was checked by their IDs, and an event without one passed.

Change: in a continuation, also one that a caller takes up, an event without an ID breaks the stream off unless it is a comment. It shows no crash of the engine. The header of a response is sent with its first accepted event, so that a caller that takes up a stream gets an error instead of a stream that is aborted.

--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -175,7 +175,7 @@
 		return retry
 	}
 	sentAt := config.Now()
-	r.stream.eventsBefore = r.stream.events
+	r.stream.beginAttempt()
 	response, err := config.Sender.Send(ctx, Attempt{
 		Call:        r.call,
 		Upstream:    reservation.Upstream,
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -21,6 +21,7 @@
 	errEmptyStream    = errors.New("the connection ended before the first event of the response")
 	errUpstreamEnded  = errors.New("the upstream has ended, and its response has neither a length nor chunks that show its end")
 	errEventOrder     = errors.New("the event IDs of the stream do not increase")
+	errNoContinuation = errors.New("the response has an event without an ID, which cannot continue a stream")
 )
 
 // maxEventBytes is the maximum size of an event, and the maximum number of bytes of a stream
@@ -34,6 +35,8 @@
 	events int
 	// eventsBefore is the number of events before the current attempt.
 	eventsBefore int
+	// isContinuation means that the current attempt continues the stream after lastID.
+	isContinuation bool
 	// bytesWithoutID is the number of bytes since the last event that has an ID.
 	bytesWithoutID int
 	// lastWriteAt is the time of the last write.
@@ -48,6 +51,11 @@
 	return p.events == 0 || p.lastID != "" && p.softwareVersion.IsKnown()
 }
 
+// beginAttempt records that another attempt begins.
+func (p *streamProgress) beginAttempt() {
+	p.eventsBefore, p.isContinuation = p.events, p.lastID != ""
+}
+
 // eventsOfAttempt returns the number of events that the current attempt has sent.
 func (p *streamProgress) eventsOfAttempt() int { return p.events - p.eventsBefore }
 
@@ -72,7 +80,7 @@
 	if ctx.Err() != nil {
 		return r.handleCancellation(ctx)
 	}
-	isGarbage := errors.Is(err, bounder.ErrFull) || errors.Is(err, errNoEvents)
+	isGarbage := errors.Is(err, bounder.ErrFull) || errors.Is(err, errNoEvents) || errors.Is(err, errNoContinuation)
 	if !isGarbage {
 		r.recordCrash(&reservation.Upstream)
 	}
@@ -142,22 +150,24 @@
 
 // writeEvents sends complete events to the caller.
 func (r *run) writeEvents(reservation *selector.Reservation, response *Response, events []byte) error {
-	if !r.headerSent {
+	isFirst := r.stream.events == 0
+	accepted, advanceErr := r.stream.advance(events)
+	if len(accepted) == 0 {
+		return advanceErr
+	}
+	if isFirst {
 		reservation.MarkFirstByte()
+	}
+	if !r.headerSent {
 		r.writeHeader(response)
-	} else if r.stream.events == 0 {
-		reservation.MarkFirstByte()
 	}
-	if r.stream.events == 0 {
+	if isFirst {
 		r.recordOrigin(&reservation.Upstream)
 	}
-	accepted, advanceErr := r.stream.advance(events)
-	if len(accepted) > 0 {
-		if err := r.writer.Write(accepted); err != nil {
-			return &callerError{err}
-		}
-		r.recordGap()
+	if err := r.writer.Write(accepted); err != nil {
+		return &callerError{err}
 	}
+	r.recordGap()
 	return advanceErr
 }
 
@@ -171,8 +181,8 @@
 }
 
 // advance records complete events as sent and returns them. It returns those before an event
-// that does not come after the one before it, or that exceeds the bytes without an ID, and an
-// error.
+// that does not come after the one before it, that has no ID in a continuation, or that exceeds
+// the bytes without an ID, and an error.
 func (p *streamProgress) advance(events []byte) ([]byte, error) {
 	length := 0
 	for length < len(events) {
@@ -185,6 +195,8 @@
 				return events[:length], errEventOrder
 			}
 			p.lastID, p.bytesWithoutID = id, 0
+		} else if p.isContinuation && !isComment(events[length:length+end]) {
+			return events[:length], errNoContinuation
 		} else if p.bytesWithoutID += end + len(eventEnd); p.bytesWithoutID > maxEventBytes {
 			return events[:length], errNoEvents
 		}
@@ -205,6 +217,16 @@
 	return errLast != nil || errNext != nil || next > last
 }
 
+// isComment reports whether all lines of an event are comments or empty.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, or an empty string if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
