Accept late calls only if the process is not killed before

Callers saw streams cut before their deadline, sent late in a stop of a process that handled SIGTERM late.

Cause: a late call was accepted if its deadline comes before the end of the shutdown, which the instance counts from when it handles SIGTERM. With 0.25 s until then, that end is 0.1 s after the platform kills the process. Class: a bound between two processes that only one of them measures; mended it for the callers only.

Change: a call is accepted without an estimate if its deadline comes 0.3 s before the end of the grace period as the instance counts it. The shutdown itself ends as before.

Evidence: integration, "cuts no stream that is sent late before its deadline if it handles SIGTERM late", failed before (sent 6.046 s after SIGTERM, cut after 1.959 s of 2 s). It, "sent late if it handles SIGTERM late" and "sent on an open connection" pass now. The spec on a late SIGTERM now also kills the process after 8 s, and two specs share what opens connections and keeps an instance at work.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -37,8 +37,9 @@
 	// and into the grace period of a shutdown.
 	discoveryTTL    = time.Second
 	addressLifetime = 3 * discoveryTTL
-	// signalDelay is how late a busy instance may handle SIGTERM. Callers that learn of the
-	// stop from others have moved so much earlier, as this instance counts.
+	// signalDelay is how late a busy instance may handle SIGTERM. As this instance counts,
+	// callers that learn of the stop from others have moved so much earlier, and the grace
+	// period ends so much earlier.
 	signalDelay = 300 * time.Millisecond
 	// drainDelay is how long the instance accepts new connections after a shutdown has
 	// begun.
--- a/daemon/hosted/serve.go
+++ b/daemon/hosted/serve.go
@@ -22,7 +22,8 @@
 	ctx, cancel := context.WithDeadline(ctx, endsAt)
 	defer cancel()
 	i.shutdown.Store(&shutdownTimes{
-		beganAt: now, callersMoveBy: now.Add(addressLifetime - signalDelay), earlyUntil: now.Add(grace / earlyDivisor), endsAt: endsAt,
+		beganAt: now, callersMoveBy: now.Add(addressLifetime - signalDelay), earlyUntil: now.Add(grace / earlyDivisor),
+		runsUntil: now.Add(grace - max(killMargin, signalDelay)), endsAt: endsAt,
 	})
 	i.draining.Store(true)
 	i.logger.Info().Msg("shutdown begins")
@@ -63,7 +64,7 @@
 }
 
 // shutdownTimes are the times of a shutdown that has begun.
-type shutdownTimes struct{ beganAt, callersMoveBy, earlyUntil, endsAt time.Time }
+type shutdownTimes struct{ beganAt, callersMoveBy, earlyUntil, runsUntil, endsAt time.Time }
 
 // shutdownState implements proxy.Config.Shutdown.
 func (i *Instance) shutdownState() proxy.Shutdown {
@@ -73,7 +74,8 @@
 	}
 	fleet := i.gossiper.Fleet()
 	state := proxy.Shutdown{
-		BeganAt: times.beganAt, CallersMoveBy: times.callersMoveBy, EarlyUntil: times.earlyUntil, EndsAt: times.endsAt,
+		BeganAt: times.beganAt, CallersMoveBy: times.callersMoveBy, EarlyUntil: times.earlyUntil,
+		RunsUntil: times.runsUntil, EndsAt: times.endsAt,
 		RetryAfter:     restartRetryAfter,
 		OthersReady:    len(fleet.Ready) > 0,
 		NearlyAllReady: len(fleet.Ready) > 0 && len(fleet.Ready) >= minReadyPerDraining*len(fleet.Draining),
--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -211,24 +211,13 @@
 		Expect(late).To(BeNumerically(">", 10))
 	}
 
-	// Guards against streams that an instance accepts late, because all of their route that
-	// have ended were shorter, and cuts.
-	It("cuts no stream that is sent when its callers know the other one", func() {
-		f := startMixedFleet()
-		calls := callLoop{client: &http.Client{}, interval: callInterval, next: streamFrom(excusedTime)}
-		expectNoLateCut(calls.untilGone(f.Instances[0].Settings.Listen.Callers, f.Instances[0].Stop))
-	})
-
-	// Guards against short streams that an instance accepts on open connections until shortly
-	// before its end, and cuts if they take longer than usual.
-	It("cuts no stream that is sent on an open connection", func() {
-		const openConnections = 400
-		f := startMixedFleet()
-		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: openConnections}}
-		defer client.CloseIdleConnections()
-		address := f.Instances[0].Settings.Listen.Callers
+	// openConnections returns a client with connections to an instance that are kept open.
+	openConnections := func(address string) *http.Client {
+		const connections = 400
+		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
+		DeferCleanup(client.CloseIdleConnections)
 		var pending sync.WaitGroup
-		for range openConnections {
+		for range connections {
 			pending.Go(func() {
 				r := streamFrom(time.Hour)(0)
 				r.APIKey = platformtest.APIKey
@@ -236,39 +225,101 @@
 			})
 		}
 		pending.Wait()
-		// An order without an answer keeps the instance at work until its end.
+		return client
+	}
+	// keepAtWork keeps an instance at work until its end, by an order without an answer. It
+	// returns a function that waits for that order to end.
+	keepAtWork := func(f *hostedFleet, address string) (wait func()) {
 		f.SetBehaviour(func(e platformtest.Execution) platformtest.Behaviour {
 			if e.Body == orderRequest().Body {
 				return platformtest.Hang
 			}
 			return platformtest.Serve
 		})
+		var pending sync.WaitGroup
 		pending.Go(func() {
 			r := orderRequest()
 			r.APIKey, r.Timeout = platformtest.APIKey, 14*time.Second
 			_, _ = platformtest.Send(context.Background(), address, r)
 		})
 		time.Sleep(100 * time.Millisecond)
+		return pending.Wait
+	}
+
+	// startBusyInstance starts another instance as a process, and returns its address and a
+	// function that stops it as the platform does. The process handles SIGTERM late.
+	startBusyInstance := func(f *hostedFleet) (callers string, stop func()) {
+		GinkgoHelper()
+		const (
+			signalDelay = 250 * time.Millisecond
+			grace       = 8 * time.Second
+		)
+		text, readiness, callers := hostedSettings(f.Platform)
+		session, _ := startHostedDaemon(strings.Replace(text, `"node-1"`, `"node-busy"`, 1))
+		Eventually(isInstanceReady(readiness), "5s").Should(BeTrue())
+		time.Sleep(time.Second)
+		return callers, func() {
+			session.Signal(syscall.SIGSTOP)
+			session.Signal(syscall.SIGTERM)
+			time.AfterFunc(signalDelay, func() { session.Signal(syscall.SIGCONT) })
+			time.AfterFunc(grace, func() { session.Signal(syscall.SIGKILL) })
+		}
+	}
+
+	// Guards against streams that an instance accepts late, because all of their route that
+	// have ended were shorter, and cuts.
+	It("cuts no stream that is sent when its callers know the other one", func() {
+		f := startMixedFleet()
+		calls := callLoop{client: &http.Client{}, interval: callInterval, next: streamFrom(excusedTime)}
+		expectNoLateCut(calls.untilGone(f.Instances[0].Settings.Listen.Callers, f.Instances[0].Stop))
+	})
+
+	// Guards against short streams that an instance accepts on open connections until shortly
+	// before its end, and cuts if they take longer than usual.
+	It("cuts no stream that is sent on an open connection", func() {
+		f := startMixedFleet()
+		address := f.Instances[0].Settings.Listen.Callers
+		client := openConnections(address)
+		wait := keepAtWork(f, address)
 		calls := callLoop{client: client, interval: callInterval, next: streamFrom(6500 * time.Millisecond)}
 		expectNoLateCut(calls.untilGone(address, f.Instances[0].Stop))
-		pending.Wait()
+		wait()
 	})
 
 	// Guards against late streams that count as early since a busy instance handles SIGTERM
 	// late.
 	It("cuts no stream that is sent late if it handles SIGTERM late", func() {
-		const signalDelay = 250 * time.Millisecond
 		f := startMixedFleet()
-		text, readiness, callers := hostedSettings(f.Platform)
-		session, _ := startHostedDaemon(strings.Replace(text, `"node-1"`, `"node-busy"`, 1))
-		Eventually(isInstanceReady(readiness), "5s").Should(BeTrue())
-		time.Sleep(time.Second)
+		callers, stop := startBusyInstance(f)
 		calls := callLoop{client: &http.Client{}, interval: callInterval, next: streamFrom(excusedTime)}
-		expectNoLateCut(calls.untilGone(callers, func() {
-			session.Signal(syscall.SIGSTOP)
-			session.Signal(syscall.SIGTERM)
-			time.AfterFunc(signalDelay, func() { session.Signal(syscall.SIGCONT) })
-		}))
+		expectNoLateCut(calls.untilGone(callers, stop))
+	})
+
+	// Guards against streams that a busy instance accepts, because their deadline comes before
+	// the end of its shutdown, and that end before their deadline when the process is killed.
+	It("cuts no stream that is sent late before its deadline if it handles SIGTERM late", func() {
+		const timeout = 2 * time.Second
+		f := startMixedFleet()
+		callers, stop := startBusyInstance(f)
+		client := openConnections(callers)
+		wait := keepAtWork(f, callers)
+		slowStream := func(after time.Duration) platformtest.Request {
+			r := streamFrom(5500 * time.Millisecond)(after)
+			r.Timeout = timeout
+			return r
+		}
+		calls := callLoop{client: client, interval: callInterval, next: slowStream}
+		late := 0
+		for _, call := range calls.untilGone(callers, stop) {
+			if call.after <= 5500*time.Millisecond || call.Status != http.StatusOK {
+				continue
+			}
+			late++
+			// Callers and instances count the timeout from different moments.
+			Expect(call.Duration).To(BeNumerically(">", timeout-10*time.Millisecond), "stream sent after %s cut", call.after)
+		}
+		Expect(late).To(BeNumerically(">", 5))
+		wait()
 	})
 })
 
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -18,6 +18,9 @@
 	CallersMoveBy time.Time
 	// EndsAt is when the instance aborts the calls in flight.
 	EndsAt time.Time
+	// RunsUntil is until when the instance certainly runs. It comes before EndsAt if the end of
+	// the grace period, as the platform counts it, may come before EndsAt.
+	RunsUntil time.Time
 	// EarlyUntil is the time until which so much is left that calls are accepted of whose
 	// route little is known.
 	EarlyUntil time.Time
@@ -40,7 +43,7 @@
 type ShutdownCheck struct {
 	// Since is the time since the shutdown began, and Left that until it ends.
 	Since, Left time.Duration
-	// Estimate is the zero value if the call's deadline comes before the end.
+	// Estimate is the zero value if the instance certainly runs until the call's deadline.
 	Estimate estimator.Estimate
 }
 
@@ -52,7 +55,7 @@
 	}
 	check := &ShutdownCheck{Since: now.Sub(shutdown.BeganAt), Left: shutdown.EndsAt.Sub(now)}
 	r.record.Shutdown = check
-	if !r.deadline.After(shutdown.EndsAt) {
+	if !r.deadline.After(shutdown.RunsUntil) {
 		return nil
 	}
 	check.Estimate = r.proxy.config.Estimator.Estimate(r.estimatedRequest(), now)
@@ -62,8 +65,8 @@
 	return errShuttingDown.WithRetryAfter(shutdown.RetryAfter)
 }
 
-// mayEndWithin reports whether a call is accepted whose deadline comes after the end of the
-// shutdown. A rejected call costs its caller little if it reaches another instance at once, as
+// mayEndWithin reports whether a call is accepted until whose deadline the instance may not
+// run. A rejected call costs its caller little if it reaches another instance at once, as
 // it does once callers have moved; no estimate is worth a call that is cut then, since none
 // bounds how long a call takes. Otherwise callers that have had no time to learn of another
 // instance may know none, so their calls are accepted if they are likely to end, or if nothing
--- a/protocol/proxy/shutdown_test.go
+++ b/protocol/proxy/shutdown_test.go
@@ -23,7 +23,7 @@
 			known.Begin(estimator.Request{Route: route}, now).Served(duration, now.Add(duration))
 		}
 		shutdown := others
-		shutdown.CallersMoveBy, shutdown.EndsAt = now.Add(time.Second), now.Add(left)
+		shutdown.CallersMoveBy, shutdown.RunsUntil, shutdown.EndsAt = now.Add(time.Second), now.Add(left), now.Add(left)
 		if isLate {
 			shutdown.CallersMoveBy = now
 		}
@@ -75,6 +75,19 @@
 		Entry("late, few and short", allReady, true, []time.Duration{100 * time.Millisecond}, rejected, rejected),
 	)
 
+	// Guards against a late call whose deadline comes after the process may be killed, although
+	// before the end of the shutdown as the instance counts it.
+	It("are accepted late only if the instance certainly runs until their deadline", func() {
+		shutdown := proxy.Shutdown{CallersMoveBy: time.Now().Add(-time.Second), EndsAt: time.Now().Add(time.Hour), OthersReady: true}
+		p := startProxy(&faultySender{}, func(config *proxy.Config) {
+			config.Shutdown = func() proxy.Shutdown { return shutdown }
+		})
+		shutdown.RunsUntil = time.Now().Add(time.Millisecond)
+		Expect(serve(p, "/stream/a", "").status).To(Equal(rejected))
+		shutdown.RunsUntil = shutdown.EndsAt
+		Expect(serve(p, "/stream/a", "").status).To(Equal(accepted))
+	})
+
 	// Guards against calls that count as early because their header was, and whose body came
 	// late.
 	It("are late if their bodies are", func() {
