Refuse late calls that are not sure to end also if no other instance is ready

Callers saw streams cut that they had sent more than 3 s after SIGTERM, when all instances were stopped at once.

Cause: left the estimate in place if no other instance is ready, since a refused caller could go nowhere. No estimate bounds how long a call takes, and the operators' rule makes no exception. Class: a likelihood used where a guarantee is due.

Change: once callers have moved, no call is accepted by an estimate. What that costs was not measured.

The entry "late, all short" of protocol/proxy, "Calls to an instance that shuts down", expected that such calls are accepted, which is the fault. It now expects that they are refused.

--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -286,6 +286,20 @@
 		wait()
 	})
 
+	// Guards against streams that an instance accepts late by an estimate, because no other
+	// instance is ready, and cuts.
+	It("cuts no stream that is sent late if the other one stops too", func() {
+		f := startMixedFleet()
+		for _, response := range f.sendConcurrently(90, streamFrom(time.Hour)(0)) {
+			Expect(response.Complete).To(BeTrue())
+		}
+		calls := callLoop{client: &http.Client{}, interval: callInterval, next: streamFrom(excusedTime)}
+		expectNoLateCut(calls.untilGone(f.Instances[0].Settings.Listen.Callers, func() {
+			f.Instances[1].Stop()
+			f.Instances[0].Stop()
+		}))
+	})
+
 	// Guards against late streams that count as early since a busy instance handles SIGTERM
 	// late.
 	It("cuts no stream that is sent late if it handles SIGTERM late", func() {
--- a/protocol/proxy/shutdown.go
+++ b/protocol/proxy/shutdown.go
@@ -66,15 +66,13 @@
 }
 
 // mayEndWithin reports whether a call is accepted until whose deadline the instance may not
-// run. A rejected call costs its caller little if it reaches another instance at once, as
-// it does once callers have moved; no estimate is worth a call that is cut then, since none
-// bounds how long a call takes. Otherwise callers that have had no time to learn of another
-// instance may know none, so their calls are accepted if they are likely to end, or if nothing
-// is known of their route.
+// run. No estimate bounds how long a call takes, so none is accepted once callers have moved.
+// Callers that have had no time to learn of another instance may know none, so their calls are
+// accepted if they are likely to end, or if nothing is known of their route.
 func (r *run) mayEndWithin(left time.Duration, estimate estimator.Estimate, shutdown *Shutdown) bool {
 	switch {
 	case !r.readAt.Before(shutdown.CallersMoveBy):
-		return !shutdown.OthersReady && estimate.IsKnown && estimate.Longest <= left
+		return false
 	case shutdown.OthersReady && r.route.Kind == catalog.NonIdempotent:
 		return estimate.HasSamples && estimate.Longest <= left
 	case shutdown.NearlyAllReady:
--- a/protocol/proxy/shutdown_test.go
+++ b/protocol/proxy/shutdown_test.go
@@ -68,7 +68,7 @@
 		Entry("none served, others stop too", someReady, false, nil, rejected, accepted),
 		Entry("some slow, no other instance", noneReady, false, mixed(6*time.Second), accepted, accepted),
 		Entry("none served, no other instance", noneReady, false, nil, accepted, accepted),
-		Entry("late, all short", noneReady, true, mixed(time.Second), accepted, accepted),
+		Entry("late, all short", noneReady, true, mixed(time.Second), rejected, rejected),
 		Entry("late, all short, another ready", someReady, true, mixed(10*time.Millisecond), rejected, rejected),
 		Entry("late, all short, all others ready", allReady, true, mixed(10*time.Millisecond), rejected, rejected),
 		Entry("late, some nearly slow", noneReady, true, mixed(4500*time.Millisecond), rejected, rejected),
