Excuse requests in the soak to upstreams whose responses are lost

The paced load shows that the check outlier counts requests that no instance can know to fail.

Requests that arrive while the link is blackholed or drops responses are no longer counted. Those before and after are, as are those over links with other faults; checker_test.go has both.

--- a/standin/soaker/checker_test.go
+++ b/standin/soaker/checker_test.go
@@ -340,6 +340,19 @@
 		Expect(checkHistory(h).Violations).To(BeEmpty())
 	})
 
+	It("excuses requests to an upstream that fails while its responses do not arrive", func() {
+		h := validHistory()
+		for n := range 20 {
+			h.add(fmt.Sprint("failed-", n), lookUp, 20+float64(n)/5).status = 502
+		}
+		h.addBroken(brokenUpstream{incarnation: "i-c/1", interval: interval{at(18), at(25)}})
+		h.addSilentLink("i-d", at(19.5), at(24))
+		h.addSilentLink("i-c", at(17), at(20.5))
+		Expect(checkHistory(h).Broken).To(HaveKey("outlier"))
+		h.addSilentLink("i-c", at(20.5), at(24))
+		Expect(checkHistory(h).Violations).To(BeEmpty())
+	})
+
 	It("ignores violations of an instance that was disconnected from the other instances", func() {
 		h := validHistory()
 		h.upstreams[0].runs = h.upstreams[0].runs[:1]
--- a/standin/soaker/history.go
+++ b/standin/soaker/history.go
@@ -30,6 +30,8 @@
 	// linkDisruptions holds when the connections to an upstream were disrupted in any way, by
 	// ID.
 	linkDisruptions map[string][]interval
+	// silentLinks holds when an upstream's responses did not reach the instances, by ID.
+	silentLinks map[string][]interval
 	// edits holds the changes of the table, zoneOutages the times in which a zone
 	// was out of service, and drainedAt when an upstream announced that it drains.
 	edits       []edit
@@ -168,7 +170,7 @@
 func newHistory() *history {
 	return &history{
 		instanceFaults: make(map[string][]interval), storeLinkFaults: make(map[string][]interval), plannedStops: make(map[string][]interval),
-		linkFaults: make(map[string][]interval), linkDisruptions: make(map[string][]interval), reloads: make(map[string][]time.Time),
+		linkFaults: make(map[string][]interval), linkDisruptions: make(map[string][]interval), silentLinks: make(map[string][]interval), reloads: make(map[string][]time.Time),
 		zoneOutages: make(map[string][]interval), drainedAt: make(map[string]time.Time), memory: make(map[string]int),
 	}
 }
@@ -228,6 +230,13 @@
 	h.linkDisruptions[upstream] = append(h.linkDisruptions[upstream], interval{from, until})
 }
 
+// addSilentLink records that an upstream's responses do not reach the instances.
+func (h *history) addSilentLink(upstream string, from, until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silentLinks[upstream] = append(h.silentLinks[upstream], interval{from, until})
+}
+
 // addReload records that an instance got SIGHUP.
 func (h *history) addReload(instance string, at time.Time) {
 	h.mu.Lock()
