--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"mime"
 	"net/http"
 	"time"
 
@@ -322,7 +323,33 @@
 	return errRetry
 }
 
+// Responses of engines that cannot be a part of a stream.
+var (
+	errNoContinuation = errors.New("the upstream did not continue the stream")
+	errNoStream       = errors.New("the upstream responded with something else than a stream")
+)
+
+// handleUnusable classifies a response that cannot be a part of the stream. It does not show
+// that the upstream has crashed.
+func (r *modelRun) handleUnusable(lease *dispatcher.Lease, response *Response, err error) error {
+	r.lastError = err
+	r.executor.config.Logger.Warn().Err(err).Str("upstream", lease.Upstream.ID).Int("status", response.Status).
+		Str("workspace", r.identity.Workspace.ID).Str("model", r.call.Model).Msg("attempt failed")
+	return errRetry
+}
+
+// isEventStream reports whether a response is a stream of events that can be read.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	encoding := header.Get("Content-Encoding")
+	return err == nil && mediaType == "text/event-stream" && (encoding == "" || encoding == "identity")
+}
+
 func (r *modelRun) relayStream(ctx context.Context, lease *dispatcher.Lease, response *Response) error {
+	if !isEventStream(response.Header) {
+		r.executor.config.Health.RecordFailure(lease.Upstream.ID)
+		return r.handleUnusable(lease, response, errNoStream)
+	}
 	if !r.writer.headerSent {
 		r.writer.writeHeader(http.StatusOK, response.Header)
 	}
@@ -337,11 +364,20 @@
 		return nil
 	case errors.As(err, &callerErr):
 		return nil
+	case errors.Is(err, relayer.ErrErrorEvent):
+		return r.handleUnusable(lease, response, err)
+	case errors.Is(err, relayer.ErrMalformedEvent):
+		r.executor.config.Health.RecordFailure(lease.Upstream.ID)
+		return r.handleUnusable(lease, response, err)
 	}
 	return r.handleUpstreamError(ctx, lease, err)
 }
 
 func (r *modelRun) relayBuffered(ctx context.Context, lease *dispatcher.Lease, response *Response) error {
+	if r.writer.headerSent && response.Status < http.StatusInternalServerError {
+		// A stream that has begun cannot continue with another kind of response.
+		return r.handleUnusable(lease, response, errNoContinuation)
+	}
 	content := r.executor.newBuffer(response)
 	defer content.Release()
 	err := content.ReadAll(response.Body)
