--- a/integration/hosted_framing_test.go
+++ b/integration/hosted_framing_test.go
@@ -73,6 +73,15 @@
 		Expect(f.send(orderRequest()).Status).To(Equal(502))
 	})
 
+	// Guards against a part of a response that looks complete because its upstream was killed
+	// within its answer to the question whether it runs.
+	It("are not forwarded when their upstream ends within its report", func() {
+		f := startPlain(serve)
+		f.SetBehaviour(func(platformtest.Execution) platformtest.Behaviour { return platformtest.EndWithinReport })
+		answer := f.send(orderRequest())
+		Expect(answer.Status).To(Equal(502), answer.Body)
+	})
+
 	// Guards against a stream that breaks off and reaches the caller as complete.
 	DescribeTable("are streams that were broken off if they end inside an event or before the first one",
 		func(behaviour platformtest.Behaviour) {
