Do not take a busy upstream for a silent one

An engine with a long queue, which begins responses all the while, was ejected at the sixth late request, and its work would have moved to the others.

Cause: late requests of one upstream have its load in common, and are not independent evidence.

Change: a request that times out is evidence only if the upstream has begun no response since it was sent. state/selector, "are not ejected for a load that they work on", fails without this. Ten kinds of bad responses in protocol/proxy pass as before. go test -race ./state/selector ./protocol/proxy passes.

--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -233,7 +233,7 @@
 }
 
 func resultName(outcome selector.Outcome) string {
-	return [...]string{"served", "abandoned", "refused", "failed", "unreachable", "unreachable"}[outcome]
+	return [...]string{"served", "abandoned", "refused", "failed", "unreachable", "unreachable", "failed"}[outcome]
 }
 
 func (r *run) lastEventID() string {
@@ -267,7 +267,7 @@
 func (r *run) handleCancellation(ctx context.Context) (selector.Outcome, attemptResult) {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errTimedOut):
-		return selector.Failed, retry
+		return selector.TimedOut, retry
 	case errors.Is(cause, ErrStopped):
 		return selector.Abandoned, failed
 	}
--- a/state/selector/health.go
+++ b/state/selector/health.go
@@ -14,17 +14,25 @@
 	Abandoned
 	// Refused means that the upstream did not execute the request.
 	Refused
-	// Failed means that the response is an error, does not belong to the request or did not
-	// come in time. The cause may be the request or its caller.
+	// Failed means that the response is an error. The cause may be the request or its caller.
 	Failed
 	// Unreachable means that the upstream did not get the request.
 	Unreachable
 	// Broken means that no whole response of the upstream to the request arrived. The cause
 	// may be the request.
 	Broken
+	// TimedOut means that the response was not complete in time. The cause may be the load of
+	// the upstream, the request or its caller.
+	TimedOut
 )
 
-func (o Outcome) isFailure() bool { return o == Failed || o == Unreachable || o == Broken }
+func (o Outcome) isFailure() bool {
+	return o == Failed || o == Unreachable || o == Broken || o == TimedOut
+}
+
+// needsComparison reports whether a failure ejects an upstream only by comparison with the
+// results of others.
+func (o Outcome) needsComparison() bool { return o == Failed || o == TimedOut }
 
 const (
 	// failurePenaltyMillis is the latency that a recent failure adds to the cost
@@ -62,6 +70,8 @@
 	// comparison compares the failures with the results of other upstreams. It is nil if
 	// there are none.
 	comparison *comparison
+	// firstBytes counts the responses that have begun.
+	firstBytes int
 	// isFaulty means that the failures have shown the upstream to be faulty, and that it has
 	// not served a request since.
 	isFaulty bool
@@ -148,10 +158,14 @@
 	case Abandoned:
 	case Refused:
 		h.extendBackoff(now.Add(refusalBackoff))
-	case Failed, Unreachable, Broken:
+	case Failed, Unreachable, Broken, TimedOut:
 		h.addPenalty(now)
+		if outcome == TimedOut && h.firstBytes != a.firstBytes {
+			// An upstream that begins responses meanwhile is busy, not silent.
+			return false
+		}
 		h.recordFailure(a, outcome, now)
-		if h.isFaulty || outcome != Failed {
+		if h.isFaulty || !outcome.needsComparison() {
 			return h.beginBackoff(a.sentAt, now)
 		}
 	}
@@ -171,7 +185,7 @@
 	if h.comparison == nil || h.comparison.hasExpired(now) {
 		h.comparison = newComparison(now)
 	}
-	h.comparison.addFailure(a, outcome != Failed)
+	h.comparison.addFailure(a, !outcome.needsComparison())
 	if h.unreachableCount >= minFailuresForTrials || h.comparison.showsFault() {
 		h.isFaulty, h.comparison = true, nil
 	}
--- a/state/selector/outlier.go
+++ b/state/selector/outlier.go
@@ -23,6 +23,8 @@
 	caller      string
 	fingerprint uint64
 	sentAt      time.Time
+	// firstBytes is the number of responses that the upstream had begun when it was sent.
+	firstBytes int
 }
 
 // workKind is what upstreams must be able to do to serve a request.
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -17,6 +17,7 @@
 		cacheTokens:   request.PromptTokens + request.OutputTokens,
 		isTrial:       c.health.beginTrial(),
 	}
+	r.attempt.firstBytes = c.health.firstBytes
 	c.ownLoad.InFlight++
 	c.ownLoad.WaitingTokens += r.waitingTokens
 	c.ownLoad.CacheTokens += r.cacheTokens
@@ -53,6 +54,7 @@
 	defer r.selector.mu.Unlock()
 	r.candidate.ownLoad.WaitingTokens = max(r.candidate.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	r.waitingTokens = 0
+	r.candidate.health.firstBytes++
 	r.endTrial(true)
 	r.selector.markChanged(r.candidate)
 }
