Take a part of a JSON document for a response that broke off in the own surroundings

Reproduced in another form than reported: the head of the response was whole and had neither a length nor chunks, and the connection was closed after it or in the body.

Cause: the executor did not know how a response ends. It sent what had come until the connection was closed, with a length.

Change: a response that ends with its connection, whose type is JSON and that is no whole JSON document, counts as broken off. The call may have run, and is retried if it may be.

Test: integration, "an instance whose upstreams begin a response and do not end it", 28 forms with a close and with a reset.

--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -57,6 +57,9 @@
 	// IsIdentified means that the response names the attempt. Another one may be a late copy
 	// of a response to an earlier attempt.
 	IsIdentified bool
+	// EndsWithConnection means that the response has neither a length nor chunks, so that the
+	// end of its connection is its end.
+	EndsWithConnection bool
 	// Incarnation identifies the engine's process. It is empty for services.
 	Incarnation string
 	// Body returns an error if the upstream sends no data for too long.
--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/protocol/relayer"
+	"github.com/crocushollow/crocushollow/protocol/verifier"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 )
 
@@ -345,6 +346,9 @@
 	content := r.executor.newBuffer(response)
 	defer content.Release()
 	err := content.ReadAll(response.Body)
+	if err == nil && response.EndsWithConnection {
+		err = verifier.CheckComplete(response.Header, content.Bytes())
+	}
 	if err != nil && !errors.Is(err, bounder.ErrFull) {
 		return r.handleUpstreamError(ctx, lease, err)
 	}
--- a/protocol/executor/service.go
+++ b/protocol/executor/service.go
@@ -14,6 +14,7 @@
 	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/protocol/verifier"
 )
 
 // ServiceCall is a request to a service that runs no models.
@@ -169,6 +170,9 @@
 	r.releaseContent()
 	r.content = r.executor.newBuffer(response)
 	err = r.content.ReadAll(response.Body)
+	if err == nil && response.EndsWithConnection {
+		err = verifier.CheckComplete(response.Header, r.content.Bytes())
+	}
 	if err != nil && !errors.Is(err, bounder.ErrFull) {
 		return nil, r.handleUpstreamError(ctx, lease, err)
 	}
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -150,8 +150,10 @@
 		Status:       response.StatusCode,
 		Header:       response.Header,
 		IsIdentified: isIdentified,
-		Incarnation:  response.Header.Get(IncarnationHeader),
-		Body:         body,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
+			attempt.Method != http.MethodHead,
+		Incarnation: response.Header.Get(IncarnationHeader),
+		Body:        body,
 	}, nil
 }
 
