--- a/protocol/executor/executor.go
+++ b/protocol/executor/executor.go
@@ -60,6 +60,9 @@
 	// ResumeFrom is the number of stream events after which the response goes on. It is 0 if the
 	// response names none.
 	ResumeFrom int64
+	// EndsWithConnection means that the response has neither a length nor chunks, so that the
+	// end of its connection is its end.
+	EndsWithConnection bool
 	// Incarnation identifies the engine's process. It is empty for services.
 	Incarnation string
 	// Body returns an error if the upstream sends no data for too long.
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -153,8 +153,10 @@
 		Header:       response.Header,
 		IsIdentified: isIdentified,
 		ResumeFrom:   resumeFrom,
-		Incarnation:  response.Header.Get(IncarnationHeader),
-		Body:         body,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
+			attempt.Method != http.MethodHead,
+		Incarnation: response.Header.Get(IncarnationHeader),
+		Body:        body,
 	}, nil
 }
 
