Take a part of a JSON document for a response that broke off on the platform

The head of the response was whole and had neither a length nor chunks, and its engine ran on.

Cause: the end of the connection was taken for the end of the response unless the engine had ended.

Change: a response that ends with its connection, whose type is JSON and that is no whole JSON document, counts as broken off, as in the own surroundings.

Test: integration, "Responses that their upstream begins and does not end, on the platform", 28 forms with a close and with a reset, from callers that speak HTTP/1.1, HTTP/1.0 or close their side.

--- /dev/null
+++ b/integration/hosted_cut_test.go
@@ -0,0 +1,106 @@
+package integration_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/crocushollow/crocushollow/platform/platformtest"
+)
+
+// sendRaw sends a request over a new connection as a kind of caller does.
+func (f *hostedFleet) sendRaw(r platformtest.Request, from cutCaller) (int, string, error) {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", f.Instances[0].Settings.Listen.Callers)
+	Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	method := http.MethodGet
+	var header strings.Builder
+	if r.Body != "" {
+		method = http.MethodPost
+	}
+	if r.Model != "" {
+		fmt.Fprintf(&header, "X-Model: %s\r\nX-Token-Count: 100,20\r\nX-Prompt-Prefix: %s:40\r\n", r.Model, r.ID)
+	}
+	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: %s\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, r.Path, from.protocol, platformtest.Host, r.ID, platformtest.APIKey, header.String(), len(r.Body), r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	if from.isHalfClosed {
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+var _ = Describe("Responses that their upstream begins and does not end, on the platform", func() {
+	// Guards against a success with an empty or a short body for a response of which the head
+	// or the body has broken off.
+	DescribeTable("are not passed on as whole ones", func(request platformtest.Request, whole []int) {
+		f := startHostedFleet(1)
+		results, path := make(map[string]int), request.Path
+		var wrong []string
+		for n, form := range cutForms() {
+			for number, from := range cutCallers {
+				request.ID = fmt.Sprintf("cut-%d-%d", n, number)
+				// Calls that are alike are refused after some failures.
+				if request.Path = path + "-" + request.ID; request.Body != "" {
+					request.Body = request.ID
+				}
+				played := 0
+				for _, upstream := range f.AllUpstreams() {
+					upstream.SetCutResponse(strings.ReplaceAll(form.text, "%ID\r\n", "%ID\r\nX-Response-Stamp: s\r\n"), form.isReset)
+				}
+				f.SetBehaviour(onFirst(platformtest.CutResponse))
+				for end := time.Now().Add(8 * time.Second); played == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					status, body, err := f.sendRaw(request, from)
+					results[fmt.Sprintf("status %d, broken off %t", status, err != nil)]++
+					isWhole := strings.HasPrefix(body, "answer to ") || whole != nil && slices.Equal(eventIDs(body), whole)
+					if err == nil && status == http.StatusOK && !isWhole {
+						wrong = append(wrong, fmt.Sprintf("%s, %s: body %q", form.name, from.name, body))
+					}
+					for _, upstream := range f.AllUpstreams() {
+						played += countExecutionsOf(upstream, request.ID)
+					}
+				}
+				Expect(played).To(BeNumerically(">", 0), "%s, %s", form.name, from.name)
+			}
+		}
+		AddReportEntry("results", fmt.Sprint(results))
+		Expect(wrong).To(BeEmpty())
+	},
+		Entry("orders", orderRequest(), nil),
+		Entry("lookups", stockRequest(), nil),
+		Entry("streams", notesRequest(), []int{1, 2, 3, 4, 5, 6}),
+		Entry("streams that may be continued", adviceRequest(), []int{1, 2, 3, 4, 5, 6}),
+	)
+})
+
+// eventIDs returns the IDs of the events of a stream.
+func eventIDs(body string) []int {
+	return (&platformtest.Response{Body: body}).EventIDs()
+}
+
+// countExecutionsOf returns how often an upstream has executed a request.
+func countExecutionsOf(upstream *platformtest.Upstream, id string) int {
+	count := 0
+	for _, execution := range upstream.Executions() {
+		if execution.ID == id {
+			count++
+		}
+	}
+	return count
+}
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -10,6 +10,7 @@
 	"github.com/crocushollow/crocushollow/catalog"
 	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/protocol/verifier"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
 )
@@ -81,8 +82,8 @@
 	defer body.Release()
 	err := body.ReadAll(response.Body)
 	reservation.MarkFirstByte()
-	if err == nil && response.EndsWithConnection && r.proxy.hasEnded(&reservation.Upstream) {
-		err = errUpstreamEnded
+	if err == nil && response.EndsWithConnection {
+		err = r.checkEnd(&reservation.Upstream, response, body.Bytes())
 	}
 	if err != nil {
 		r.record.Cause = err
@@ -119,6 +120,17 @@
 	return selector.Served, finished
 }
 
+// checkEnd returns an error if the end of a connection is not that of the response before it.
+func (r *run) checkEnd(upstream *catalog.Upstream, response *Response, body []byte) error {
+	if err := verifier.CheckComplete(response.Header, body); err != nil {
+		return err
+	}
+	if r.proxy.hasEnded(upstream) {
+		return errUpstreamEnded
+	}
+	return nil
+}
+
 // mayRetryServerError reports whether a response with a 5xx status may be followed
 // by another attempt.
 func (r *run) mayRetryServerError() bool {
