List streams whose first event stands in the place of the head's blank line as known red

An upstream that sends an event where the blank line of its head should be: net/http takes the lines of the event for header lines and its end for that of the head. The caller gets 200 and a stream without that event, which looks complete. If the stream breaks off after it and may be continued, it goes on without the event, too.

--- a/integration/hosted_cut_test.go
+++ b/integration/hosted_cut_test.go
@@ -87,6 +87,19 @@
 		Entry("streams", notesRequest(), []int{1, 2, 3, 4, 5, 6}),
 		Entry("streams that may be continued", adviceRequest(), []int{1, 2, 3, 4, 5, 6}),
 	)
+
+	// Guards against a stream without its first event, which stands in the place of the blank
+	// line of the head and is taken for header lines.
+	It("lose no event that stands in the place of the blank line", Label("known-red"), func() {
+		f := startHostedFleet(1)
+		for _, upstream := range f.AllUpstreams() {
+			upstream.SetCutResponse("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %ID\r\nX-Response-Stamp: s\r\n"+
+				"id: 1\ndata: x\n\nid: 2\ndata: y\n\n", false)
+		}
+		f.SetBehaviour(onFirst(platformtest.CutResponse))
+		answer := f.send(notesRequest())
+		Expect(answer.Status == http.StatusOK && answer.Complete).To(BeFalse(), answer.Body)
+	})
 })
 
 // eventIDs returns the IDs of the events of a stream.
