--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,25 +52,21 @@
 	var mu sync.Mutex
 	var calls []shutdownCall
 	var pending sync.WaitGroup
-	isGone := false
-	for !isGone && time.Since(stoppedAt) < 10*time.Second {
+	var isGone atomic.Bool
+	for !isGone.Load() && time.Since(stoppedAt) < 10*time.Second {
 		pending.Go(func() {
 			call := shutdownCall{after: time.Since(stoppedAt)}
 			r := l.next(call.after)
 			r.APIKey = platformtest.APIKey
 			call.Response, call.err = platformtest.SendWith(context.Background(), l.client, address, r)
+			if errors.Is(call.err, syscall.ECONNREFUSED) {
+				isGone.Store(true)
+			}
 			mu.Lock()
 			defer mu.Unlock()
-			isGone = isGone || errors.Is(call.err, syscall.ECONNREFUSED)
 			calls = append(calls, call)
 		})
 		time.Sleep(l.interval)
-		mu.Lock()
-		gone := isGone
-		mu.Unlock()
-		if gone {
-			break
-		}
 	}
 	pending.Wait()
 	return calls
