--- a/protocol/executor/model.go
+++ b/protocol/executor/model.go
@@ -20,6 +20,7 @@
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
 	"github.com/crocushollow/crocushollow/protocol/relayer"
+	"github.com/crocushollow/crocushollow/protocol/verifier"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 )
 
@@ -350,6 +351,9 @@
 		r.executor.config.Health.RecordFailure(lease.Upstream.ID)
 		return r.handleUnusable(lease, response, errNoStream)
 	}
+	if response.ResumeFrom != r.progress.Events {
+		return r.handleUnusable(lease, response, errNoContinuation)
+	}
 	if !r.writer.headerSent {
 		r.writer.writeHeader(http.StatusOK, response.Header)
 	}
@@ -381,6 +385,9 @@
 	content := r.executor.newBuffer(response)
 	defer content.Release()
 	err := content.ReadAll(response.Body)
+	if err == nil && response.EndsWithConnection {
+		err = verifier.CheckComplete(response.Header, content.Bytes())
+	}
 	if err != nil && !errors.Is(err, bounder.ErrFull) {
 		return r.handleUpstreamError(ctx, lease, err)
 	}
