Start the fleets of the specs on stops in one place

Two functions started two instances with two engines each, and differed in the intervals of their events. The specs and their bounds are as before.

--- a/integration/hosted_shutdown_test.go
+++ b/integration/hosted_shutdown_test.go
@@ -72,6 +72,25 @@
 	return calls
 }
 
+// startPacedFleet starts two instances with two engines, which wait for an interval before each
+// of the ten events of a stream, and for another one if its path says that it is slow.
+func startPacedFleet(interval, slowInterval time.Duration) *hostedFleet {
+	GinkgoHelper()
+	f := startHostedFleet(2)
+	table := f.Table()
+	table.Version, table.TimeoutMs = table.Version+1, 15000
+	f.PutTable(table)
+	for _, id := range []string{"i-paced-1", "i-paced-2"} {
+		config := versionedEngine(id, "v1")
+		config.EventInterval, config.SlowEventInterval, config.Slots = interval, slowInterval, 128
+		f.StartUpstream(config)
+	}
+	f.DeregisterUpstream("i-a")
+	f.DeregisterUpstream("i-b")
+	time.Sleep(time.Second)
+	return f
+}
+
 var _ = Describe("Instances that are stopped one after the other", func() {
 	const (
 		eventInterval = 430 * time.Millisecond
@@ -80,22 +99,9 @@
 		excusedTime = 3 * time.Second
 	)
 
-	// startSlowFleet starts two instances with engines whose streams last for streamTime.
 	startSlowFleet := func() *hostedFleet {
 		GinkgoHelper()
-		f := startHostedFleet(2)
-		table := f.Table()
-		table.Version, table.TimeoutMs = table.Version+1, 15000
-		f.PutTable(table)
-		for _, id := range []string{"i-slow-1", "i-slow-2"} {
-			config := versionedEngine(id, "v1")
-			config.EventInterval, config.Slots = eventInterval, 128
-			f.StartUpstream(config)
-		}
-		f.DeregisterUpstream("i-a")
-		f.DeregisterUpstream("i-b")
-		time.Sleep(time.Second)
-		return f
+		return startPacedFleet(eventInterval, eventInterval)
 	}
 	stream := notesRequest()
 	stream.Timeout = 15 * time.Second
@@ -168,19 +174,7 @@
 	// their paths say so.
 	startMixedFleet := func() *hostedFleet {
 		GinkgoHelper()
-		f := startHostedFleet(2)
-		table := f.Table()
-		table.Version, table.TimeoutMs = table.Version+1, 15000
-		f.PutTable(table)
-		for _, id := range []string{"i-mixed-1", "i-mixed-2"} {
-			config := versionedEngine(id, "v1")
-			config.EventInterval, config.SlowEventInterval, config.Slots = 15*time.Millisecond, 600*time.Millisecond, 128
-			f.StartUpstream(config)
-		}
-		f.DeregisterUpstream("i-a")
-		f.DeregisterUpstream("i-b")
-		time.Sleep(time.Second)
-		return f
+		return startPacedFleet(15*time.Millisecond, 600*time.Millisecond)
 	}
 	// streamFrom returns streams of which those that are sent from a time after the stop on
 	// are slow.
