Start on deployments that lack bounds

Errors of the decoder name the field or say that the syntax is at fault; negative numbers are refused.

--- a/daemon/hosted/settings.go
+++ b/daemon/hosted/settings.go
@@ -1,12 +1,12 @@
 package hosted
 
 import (
+	"math"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
-	"github.com/samber/oops"
 
 	"github.com/crocushollow/crocushollow/daemon"
 )
@@ -57,7 +57,8 @@
 	Cores float64 `toml:"cores"`
 }
 
-// BoundSettings holds the bounds that the operators set.
+// BoundSettings holds the bounds that the operators set. A site sets only those of the
+// rules that are in force there; the others have the values of defaultBounds.
 type BoundSettings struct {
 	// Grace is the time from the request to shut down until the process is killed.
 	Grace daemon.Duration `toml:"grace"`
@@ -80,6 +81,20 @@
 	Lease daemon.Duration `toml:"lease"`
 }
 
+// defaultBounds are the bounds of a site that sets none: those that restrict an instance most
+// where its own conduct is bounded, and the usual ones of the platform for times.
+var defaultBounds = BoundSettings{
+	Grace:         daemon.Duration(8 * time.Second),
+	RetryRatio:    0.1,
+	RetryWindow:   daemon.Duration(10 * time.Second),
+	QuotaWindow:   daemon.Duration(8 * time.Second),
+	ColdOvershoot: 1,
+	Lease:         daemon.Duration(3 * time.Second),
+}
+
+// defaultMinTTL is the minimum TTL of group members in a store that names none.
+const defaultMinTTL = time.Second
+
 // LoggingSettings configure the log.
 type LoggingSettings struct {
 	Level string `toml:"level"`
@@ -97,9 +112,13 @@
 // ParseSettings parses and validates the text of a settings file. It ignores unknown
 // fields, since the platform may add some.
 func ParseSettings(file string, text []byte) (Settings, error) {
-	settings := Settings{Logging: LoggingSettings{Level: "info"}}
+	settings := Settings{
+		Store:   StoreSettings{MinTTL: daemon.Duration(defaultMinTTL)},
+		Bounds:  defaultBounds,
+		Logging: LoggingSettings{Level: "info"},
+	}
 	if err := toml.Unmarshal(text, &settings); err != nil {
-		return settings, oops.In("settings").With("file", file).Wrap(err)
+		return settings, daemon.DecodeSettingsError(file, err)
 	}
 	if invalid := settings.validate(); invalid != nil {
 		invalid.File = file
@@ -138,5 +157,21 @@
 			return &daemon.SettingsError{Field: duration.field, Reason: "must be greater than 0"}
 		}
 	}
+	for _, number := range []struct {
+		field string
+		value float64
+	}{
+		{"limits.memory_mb", float64(s.Limits.MemoryMB)},
+		{"limits.cores", s.Limits.Cores},
+		{"bounds.retry_ratio", s.Bounds.RetryRatio},
+		{"bounds.retry_extra", s.Bounds.RetryExtra},
+		{"bounds.quota_slack", s.Bounds.QuotaSlack},
+		{"bounds.cold_overshoot", s.Bounds.ColdOvershoot},
+		{"bounds.cold_slack", s.Bounds.ColdSlack},
+	} {
+		if number.value < 0 || math.IsNaN(number.value) {
+			return &daemon.SettingsError{Field: number.field, Reason: "must not be negative"}
+		}
+	}
 	return nil
 }
--- a/daemon/hosted/settings_test.go
+++ b/daemon/hosted/settings_test.go
@@ -1,8 +1,11 @@
 package hosted_test
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -18,21 +21,70 @@
 	RunSpecs(t, "hosted")
 }
 
-// renderTemplate renders the settings template with the values that the platform
-// provides.
-func renderTemplate() string {
+// platformFields are the fields that the platform fills into the template.
+func platformFields() map[string]any {
+	return map[string]any{
+		"node": "front-akl-1", "zone": "akl", "ip": "10.1.0.25", "bootstrap": true,
+		"listen":     map[string]any{"front": "10.1.0.25:8221", "ready": "10.1.0.25:8224", "directory": "10.1.0.25:8220"},
+		"innerPorts": map[string]any{"0": 7600, "1": 7601},
+		"platform":   map[string]any{"address": "10.200.1.7:8225", "minTtlMs": 1000},
+		"limits":     map[string]any{"memoryMb": 284, "cpuShare": 0.4},
+		"bounds": map[string]any{
+			"graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetExtra": 56, "budgetWindowS": 10, "quotaWindowS": 8,
+			"quotaSlack": 17000, "coldOvershoot": 1.5, "coldSlack": 5, "leaseMs": 3000,
+		},
+	}
+}
+
+// lookUp returns the value at a path such as bounds.graceS.
+func lookUp(fields map[string]any, path string) (any, bool) {
+	name, rest, isNested := strings.Cut(path, ".")
+	value, found := fields[name]
+	if !found || !isNested {
+		return value, found
+	}
+	inner, ok := value.(map[string]any)
+	Expect(ok).To(BeTrue(), path)
+	return lookUp(inner, rest)
+}
+
+var (
+	sectionPattern     = regexp.MustCompile(`\{\{#([\w.]+)\}\}(.*)\{\{/([\w.]+)\}\}`)
+	placeholderPattern = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
+)
+
+// render renders the settings template as the platform does: a section stays if its field is
+// present, and a field that is absent leaves nothing.
+func render(fields map[string]any) string {
 	GinkgoHelper()
 	text, err := os.ReadFile("../../deploy/instance.toml.tmpl")
 	Expect(err).NotTo(HaveOccurred())
-	return strings.NewReplacer(
-		"{{node|json}}", `"front-akl-1"`, "{{zone|json}}", `"akl"`, "{{bootstrap|json}}", "true",
-		"{{listen.front}}", "10.1.0.25:8221", "{{listen.ready}}", "10.1.0.25:8224", "{{listen.directory}}", "10.1.0.25:8220",
-		"{{ip}}", "10.1.0.25", "{{innerPorts.0}}", "7600", "{{innerPorts.1}}", "7601",
-		"{{platform.address|json}}", `"10.200.1.7:8225"`, "{{platform.minTtlMs}}", "1000", "{{limits.memoryMb}}", "284", "{{limits.cpuShare}}", "0.4",
-		"{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", "56",
-		"{{bounds.budgetWindowS}}", "10", "{{bounds.quotaWindowS}}", "8", "{{bounds.quotaSlack}}", "17000",
-		"{{bounds.coldOvershoot}}", "1.5", "{{bounds.coldSlack}}", "5", "{{bounds.leaseMs}}", "3000",
-	).Replace(string(text))
+	withoutSections := sectionPattern.ReplaceAllStringFunc(string(text), func(section string) string {
+		match := sectionPattern.FindStringSubmatch(section)
+		Expect(match[1]).To(Equal(match[3]))
+		if _, found := lookUp(fields, match[1]); !found {
+			return ""
+		}
+		return match[2]
+	})
+	return placeholderPattern.ReplaceAllStringFunc(withoutSections, func(placeholder string) string {
+		match := placeholderPattern.FindStringSubmatch(placeholder)
+		value, found := lookUp(fields, match[1])
+		if !found {
+			return ""
+		}
+		if match[2] == "" {
+			return fmt.Sprint(value)
+		}
+		encoded, err := json.Marshal(value)
+		Expect(err).NotTo(HaveOccurred())
+		return string(encoded)
+	})
+}
+
+func renderTemplate() string {
+	GinkgoHelper()
+	return render(platformFields())
 }
 
 var _ = Describe("Settings", func() {
@@ -44,6 +96,33 @@
 		Expect(settings.Bounds.RetryExtra).To(Equal(56.0))
 	})
 
+	// Guards against instances that do not start where a rule, and so its bound, is not in force.
+	It("are parsed for every deployment, whichever optional fields it lacks", func() {
+		for _, section := range []string{"bounds", "limits"} {
+			whole := platformFields()
+			delete(whole, section)
+			settings, err := hosted.ParseSettings("instance.toml", []byte(render(whole)))
+			Expect(err).NotTo(HaveOccurred(), section)
+			Expect(settings.Bounds.Lease).To(BeNumerically(">", 0))
+			for name := range platformFields()[section].(map[string]any) {
+				fields := platformFields()
+				delete(fields[section].(map[string]any), name)
+				_, err := hosted.ParseSettings("instance.toml", []byte(render(fields)))
+				Expect(err).NotTo(HaveOccurred(), "%s.%s", section, name)
+			}
+		}
+	})
+
+	It("limit requests to cold upstreams to their own rate where the operators set no bound", func() {
+		fields := platformFields()
+		delete(fields["bounds"].(map[string]any), "coldOvershoot")
+		delete(fields["bounds"].(map[string]any), "coldSlack")
+		settings, err := hosted.ParseSettings("instance.toml", []byte(render(fields)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Bounds.ColdOvershoot).To(Equal(1.0))
+		Expect(settings.Bounds.ColdSlack).To(BeZero())
+	})
+
 	It("may have unknown fields", func() {
 		_, err := hosted.ParseSettings("instance.toml", []byte(renderTemplate()+"\n[later]\nfield = 1\n"))
 		Expect(err).NotTo(HaveOccurred())
@@ -54,6 +133,10 @@
 			"instance.id":    strings.Replace(renderTemplate(), `id = "front-akl-1"`, "", 1),
 			"listen.callers": strings.Replace(renderTemplate(), "10.1.0.25:8221", "somewhere", 1),
 			"bounds.grace":   strings.Replace(renderTemplate(), `grace = "8s"`, `grace = "0s"`, 1),
+
+			"bounds.lease":       strings.Replace(renderTemplate(), `lease = "3000ms"`, `lease = "soon"`, 1),
+			"bounds.quota_slack": strings.Replace(renderTemplate(), "quota_slack = 17000", "quota_slack = -1", 1),
+			"limits.memory_mb":   strings.Replace(renderTemplate(), "memory_mb = 284", "memory_mb = true", 1),
 		} {
 			_, err := hosted.ParseSettings("instance.toml", []byte(text))
 			var invalid *daemon.SettingsError
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -251,7 +251,7 @@
 	settings := DefaultSettings()
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(&settings); err != nil {
-		return settings, decodeError(file, err)
+		return settings, DecodeSettingsError(file, err)
 	}
 	if invalid := settings.validate(); invalid != nil {
 		invalid.File = file
@@ -261,8 +261,8 @@
 	return settings, nil
 }
 
-// decodeError converts an error of the TOML decoder to a SettingsError.
-func decodeError(file string, err error) error {
+// DecodeSettingsError converts an error of the TOML decoder to a SettingsError.
+func DecodeSettingsError(file string, err error) error {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		first := unknown.Errors[0]
@@ -273,6 +273,9 @@
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
 		field := strings.Join(decode.Key(), ".")
+		if field == "" {
+			field = "syntax"
+		}
 		return &SettingsError{File: file, Line: line, Field: field, Reason: decode.Error()}
 	}
 	return &SettingsError{File: file, Field: "file", Reason: err.Error()}
