Let half-closed callers of the cut specs close later with each try

Change: the first try closes at once as before, each further one 2 ms later, so that the call reaches an upstream at some try however late the instance is. All forms, tries and checks stay.

--- a/integration/cut_response_test.go
+++ b/integration/cut_response_test.go
@@ -186,6 +186,27 @@
 	name, protocol string
 	// isHalfClosed means that it closes its side of the connection after its request.
 	isHalfClosed bool
+	// closeDelay is the time from its request until it closes its side.
+	closeDelay time.Duration
+}
+
+// closeDelayStep is the time by which callers close their side later with each try. The first
+// try closes it at once, so that an instance under load may not have sent the call by then.
+const closeDelayStep = 2 * time.Millisecond
+
+// withCloseDelay returns the caller as it is in a try, counted from 0.
+func (c cutCaller) withCloseDelay(try int) cutCaller {
+	c.closeDelay = time.Duration(try) * closeDelayStep
+	return c
+}
+
+// halfClose closes the caller's side of the connection if it is one that does so.
+func (c cutCaller) halfClose(conn net.Conn) error {
+	if !c.isHalfClosed {
+		return nil
+	}
+	time.Sleep(c.closeDelay)
+	return conn.(*net.TCPConn).CloseWrite()
 }
 
 var cutCallers = []cutCaller{
@@ -208,10 +229,8 @@
 	if err != nil {
 		return 0, "", err
 	}
-	if kind.isHalfClosed {
-		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
-			return 0, "", err
-		}
+	if err := kind.halfClose(conn); err != nil {
+		return 0, "", err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -255,7 +274,7 @@
 				if kind == "keyed" {
 					call.header = fmt.Sprintf("Idempotency-Key: %s%d\r\n", call.name, try)
 				}
-				status, body, err := call.send(address, f.apiKeys["hives"], from)
+				status, body, err := call.send(address, f.apiKeys["hives"], from.withCloseDelay(try-1))
 				if call.isPart(status, body, err) {
 					wrong = append(wrong, fmt.Sprintf("%s, %s: status %d, body %q", form.name, from.name, status, body))
 				}
--- a/integration/hosted_cut_test.go
+++ b/integration/hosted_cut_test.go
@@ -34,9 +34,7 @@
 	_, err = fmt.Fprintf(conn, "%s %s %s\r\nHost: %s\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		method, r.Path, from.protocol, platformtest.Host, r.ID, platformtest.APIKey, header.String(), len(r.Body), r.Body)
 	Expect(err).NotTo(HaveOccurred())
-	if from.isHalfClosed {
-		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
-	}
+	Expect(from.halfClose(conn)).To(Succeed())
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, "", err
@@ -65,8 +63,8 @@
 					upstream.SetCutResponse(strings.ReplaceAll(form.text, "%ID\r\n", "%ID\r\nX-Response-Stamp: s\r\n"), form.isReset)
 				}
 				f.SetBehaviour(onFirst(platformtest.CutResponse))
-				for end := time.Now().Add(8 * time.Second); played == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-					status, body, err := f.sendRaw(request, from)
+				for end, try := time.Now().Add(8*time.Second), 0; played == 0 && time.Now().Before(end); try++ {
+					status, body, err := f.sendRaw(request, from.withCloseDelay(try))
 					results[fmt.Sprintf("status %d, broken off %t", status, err != nil)]++
 					isWhole := strings.HasPrefix(body, "answer to ") || whole != nil && slices.Equal(eventIDs(body), whole)
 					if err == nil && status == http.StatusOK && !isWhole {
@@ -75,6 +73,7 @@
 					for _, upstream := range f.AllUpstreams() {
 						played += countExecutionsOf(upstream, request.ID)
 					}
+					time.Sleep(10 * time.Millisecond)
 				}
 				Expect(played).To(BeNumerically(">", 0), "%s, %s", form.name, from.name)
 			}
