Follow what upstreams say about their own availability

Change: platform decodes both into proxy.Availability; the selector gives nothing new to an upstream that leaves, nothing to a paused one until its pause ends, and then requests in steps. Calls wait for the end of a pause if they may, else they are rejected at once with the time until it ends. The planner counts an engine that leaves as draining.

Tests, failing without the change: state/selector 'What an upstream says about its availability', platform 'decodes what an upstream says about its availability', protocol/proxy 'that ask for a pause are followed, and further calls rejected at once'.

--- a/coordination/planner/engine.go
+++ b/coordination/planner/engine.go
@@ -183,7 +183,7 @@
 func (p *Planner) availableEngines(site Site, service string, spec *catalog.EngineSpec, now time.Time) []*stocker.Engine {
 	var engines []*stocker.Engine
 	for id, e := range p.engines {
-		if e.state.Service != service || e.state.IsDraining || site.ZonesOutOfService[e.state.AvailabilityZone] {
+		if e.state.Service != service || e.state.IsDraining || site.LeavingUpstreams[id] || site.ZonesOutOfService[e.state.AvailabilityZone] {
 			continue
 		}
 		planned := &stocker.Engine{
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -81,6 +81,8 @@
 	ZonesOutOfService map[string]bool
 	// LimitedUpstreams holds the upstreams that ask for fewer requests.
 	LimitedUpstreams map[string]bool
+	// LeavingUpstreams holds the upstreams that have said that they leave.
+	LeavingUpstreams map[string]bool
 }
 
 // Config configures a Planner. All fields are required.
--- a/daemon/hosted/ratelimits.go
+++ b/daemon/hosted/ratelimits.go
@@ -58,6 +58,7 @@
 // plannedSite returns the site that the planner works on.
 func (i *Instance) plannedSite() planner.Site {
 	site := i.site.registeredSite()
+	site.LeavingUpstreams = i.selector.LeavingUpstreams()
 	if i.throttler.ActiveLimits() == 0 {
 		return site
 	}
--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -175,10 +176,18 @@
 	}
 }
 
-// RateLimitInvalid implements proxy.Observer.
-func (r *reporter) RateLimitInvalid(upstream string, err error) {
+// StatementInvalid implements proxy.Observer.
+func (r *reporter) StatementInvalid(upstream string, err error) {
 	if r.allowLine("attempt") {
-		r.logger.Warn().Err(err).Str("upstream", upstream).Msg("rate limit of upstream ignored")
+		r.logger.Warn().Err(err).Str("upstream", upstream).Msg("statement of upstream ignored")
+	}
+}
+
+// AvailabilityChanged implements proxy.Observer.
+func (r *reporter) AvailabilityChanged(upstream string, stated proxy.Availability) {
+	r.set.GetOrCreateCounter(`crocushollow_upstream_pauses_total{leaving="` + strconv.FormatBool(stated.IsLeaving) + `"}`).Inc()
+	if r.allowLine("attempt") {
+		r.logger.Warn().Str("upstream", upstream).Bool("leaving", stated.IsLeaving).Dur("pause", stated.PauseFor).Msg("upstream unavailable")
 	}
 }
 
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -148,9 +148,10 @@
 
 type discardObserver struct{}
 
-func (discardObserver) CallEnded(proxy.CallRecord)       {}
-func (discardObserver) AttemptEnded(proxy.AttemptRecord) {}
-func (discardObserver) RateLimitInvalid(string, error)   {}
+func (discardObserver) CallEnded(proxy.CallRecord)                     {}
+func (discardObserver) AttemptEnded(proxy.AttemptRecord)               {}
+func (discardObserver) StatementInvalid(string, error)                 {}
+func (discardObserver) AvailabilityChanged(string, proxy.Availability) {}
 
 const (
 	upstreamCount = 300
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -32,8 +32,10 @@
 type Observer interface {
 	CallEnded(record CallRecord)
 	AttemptEnded(record AttemptRecord)
-	// RateLimitInvalid receives a rate limit of an upstream that cannot be decoded.
-	RateLimitInvalid(upstream string, err error)
+	// StatementInvalid receives a statement of an upstream about itself that cannot be decoded.
+	StatementInvalid(upstream string, err error)
+	// AvailabilityChanged receives that an upstream leaves or has asked for a pause.
+	AvailabilityChanged(upstream string, stated Availability)
 }
 
 // AttemptRecord describes a finished attempt.
@@ -171,6 +173,7 @@
 	errAborted              = rejecter.New(http.StatusBadGateway, rejecter.InstanceShuttingDown, "the instance stopped before the upstream responded; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errUpstreamFailed       = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the upstream failed; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errRateLimited          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request ask for fewer requests")
+	errPaused               = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request have asked for a pause")
 	errNotAccepted          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream accepted the request").WithRetryAfter(notAcceptedRetryAfter)
 )
 
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -106,7 +106,7 @@
 		}
 		reservation, result := q.config.Selector.Choose(w.request, now)
 		w.result = result
-		if reservation != nil || isFinal(w.request, result) {
+		if reservation != nil || q.isFinal(w, result, now) {
 			w.reservation <- reservation
 			return true
 		}
@@ -144,7 +144,7 @@
 		w.result = ahead.result
 	} else {
 		reservation, result := q.config.Selector.Choose(request, now)
-		if reservation != nil || isFinal(request, result) {
+		if reservation != nil || q.isFinal(w, result, now) {
 			return nil, reservation, result
 		}
 		w.result = result
@@ -168,10 +168,20 @@
 	return waitKey{request.Service, request.Model, request.Adapter, request.SoftwareVersion}
 }
 
-// isFinal reports whether waiting cannot change the result of a selection soon: the
-// upstreams are rate-limited, or none is left that could continue the stream.
-func isFinal(request *selector.Request, result selector.Result) bool {
-	return result == selector.RateLimited || result == selector.NoUpstream && request.SoftwareVersion.IsKnown()
+// isFinal reports whether waiting cannot change the result of a selection in time: the
+// upstreams are rate-limited or pause for too long, or none is left that could continue the
+// stream.
+func (q *queue) isFinal(w *waiter, result selector.Result, now time.Time) bool {
+	switch result {
+	case selector.RateLimited:
+		return true
+	case selector.Paused:
+		return now.Add(q.config.Selector.PauseDelay(w.request, now)).After(w.deadline)
+	case selector.NoUpstream:
+		return w.request.SoftwareVersion.IsKnown()
+	default:
+		return false
+	}
 }
 
 // compareWaiters orders calls by priority, then by deadline.
@@ -271,6 +281,9 @@
 	if result == selector.RateLimited {
 		return errRateLimited.WithRetryAfter(min(r.proxy.config.Selector.RateLimitDelay(&r.request), maxRateLimitRetryAfter))
 	}
+	if result == selector.Paused {
+		return errPaused.WithRetryAfter(r.proxy.config.Selector.PauseDelay(&r.request, r.proxy.config.Now()))
+	}
 	return rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded,
 		"no upstream was free in time: "+result.String()).WithRetryAfter(retryAfterByResult[result])
 }
--- a/protocol/proxy/refusal_test.go
+++ b/protocol/proxy/refusal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -42,6 +43,25 @@
 		Expect(sender.attempts[1].Repeat).To(Equal(1), "the address is the same")
 	})
 
+	// Guards against calls that wait for upstreams which want no requests for longer than the
+	// calls may wait, and against requests to them.
+	It("that ask for a pause are followed, and further calls rejected at once", func() {
+		sender := &fixedSender{response: proxy.Response{
+			Status: http.StatusServiceUnavailable, NotRun: true, Availability: &proxy.Availability{PauseFor: 30 * time.Second},
+		}}
+		p := startProxy(sender)
+		for range 2 * upstreamCount {
+			serve(p, "/plain/a", "")
+		}
+		sender.attempts = nil
+		began := time.Now()
+		writer := serve(p, "/plain/b", "")
+		Expect(writer.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(writer.err.RetryAfter).To(BeNumerically("~", 30*time.Second, 5*time.Second))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		Expect(sender.attempts).To(BeEmpty())
+	})
+
 	// Guards against a status that tells the caller that the call was not run, though the
 	// upstream did not state it.
 	DescribeTable("are not passed on unless they state that the call was not run",
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -19,6 +19,7 @@
 func (r *run) handleResponse(ctx context.Context, reservation *selector.Reservation, response *Response) (selector.Outcome, attemptResult) {
 	r.record.Attempts++
 	r.observeRateLimit(&reservation.Upstream, response)
+	r.observeAvailability(reservation, response.Availability)
 	if response.NotRun {
 		r.record.Cause = errNotRun
 		return selector.Refused, r.afterNotRun()
@@ -66,12 +67,26 @@
 		config.Throttler.Observe(upstream, throttler.Limit{}, now)
 	case limit == nil:
 	case limit.Err != nil:
-		config.Observer.RateLimitInvalid(upstream.ID, limit.Err)
+		config.Observer.StatementInvalid(upstream.ID, limit.Err)
 	default:
 		config.Throttler.Observe(upstream, throttler.Limit{IsActive: true, PerSecond: limit.PerSecond}, now)
 	}
 }
 
+// observeAvailability records what an upstream says about itself.
+func (r *run) observeAvailability(reservation *selector.Reservation, stated *Availability) {
+	if stated == nil {
+		return
+	}
+	config := &r.proxy.config
+	if stated.Err != nil {
+		config.Observer.StatementInvalid(reservation.Upstream.ID, stated.Err)
+	}
+	if reservation.RecordAvailability(selector.Availability{IsLeaving: stated.IsLeaving, PauseFor: stated.PauseFor}, config.Now()) {
+		config.Observer.AvailabilityChanged(reservation.Upstream.ID, *stated)
+	}
+}
+
 // maxResponseBytes is the maximum size of a response that is not streamed. Such a response is
 // buffered in memory until it is complete.
 const maxResponseBytes = 16 << 20
--- a/protocol/proxy/sender.go
+++ b/protocol/proxy/sender.go
@@ -46,6 +46,19 @@
 	// RateLimit is the limit that the response names for the requests to its upstream. It
 	// is nil if the response names none.
 	RateLimit *RateLimit
+	// Availability is what the upstream says about itself. It is nil if it says nothing.
+	Availability *Availability
+}
+
+// Availability is what an upstream says about itself in a response.
+type Availability struct {
+	// IsLeaving means that the upstream shuts down.
+	IsLeaving bool
+	// PauseFor is the time for which the upstream wants no requests from this instance. It is 0
+	// if the upstream has not asked for a pause.
+	PauseFor time.Duration
+	// Err is set if a value could not be decoded.
+	Err error
 }
 
 // RateLimit is the limit of the requests to an upstream that a response names.
--- a/state/selector/health.go
+++ b/state/selector/health.go
@@ -122,6 +122,15 @@
 	return true
 }
 
+// limitTrials limits the requests without a response to one, and twice as many after each
+// response.
+func (h *health) limitTrials() {
+	if h.trialLimit == 0 {
+		h.trials = 0
+	}
+	h.trialLimit = 1
+}
+
 // endTrial records the end of a trial, or its response. It reports whether the upstream has
 // no limit any more.
 func (h *health) endTrial(hasResponse bool) bool {
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -96,6 +96,9 @@
 	// RateLimited means that the upstreams that have loaded the model and the adapter
 	// ask for fewer requests.
 	RateLimited
+	// Paused means that the upstreams that have loaded the model and the adapter want no
+	// requests for some time.
+	Paused
 	// ModelAbsent means that upstreams accept requests but none has loaded the
 	// model.
 	ModelAbsent
@@ -105,7 +108,7 @@
 
 // String implements fmt.Stringer.
 func (r Result) String() string {
-	return [...]string{"chosen", "busy", "adapter_absent", "rate_limited", "model_absent", "no_upstream"}[r]
+	return [...]string{"chosen", "busy", "adapter_absent", "rate_limited", "paused", "model_absent", "no_upstream"}[r]
 }
 
 // Config configures a Selector.
@@ -173,6 +176,8 @@
 	// peerLoad is the total load of all peers.
 	peerLoad Load
 	health   health
+	// availability is what the upstream has said about itself.
+	availability availability
 	// coldSends holds the times of recent requests, for the cold start limit.
 	coldSends []time.Time
 	// limitedSends holds the times of the requests that count towards the quota of an
@@ -249,7 +254,7 @@
 	hasOther := false
 	result := NoUpstream
 	for _, c := range s.byService[request.Service] {
-		if !request.allows(c.upstream) {
+		if c.availability.isLeaving || !request.allows(c.upstream) {
 			continue
 		}
 		eligibility := s.eligibility(c, request, service, now)
@@ -318,6 +323,9 @@
 	if request.IsResumable && !request.SoftwareVersion.IsKnown() && !s.config.IsPinnable(request.Service, c.upstream.SoftwareVersion) {
 		return Busy
 	}
+	if c.availability.isPaused(now) {
+		return Paused
+	}
 	if !s.rateLimitAllows(c, request, now) {
 		return RateLimited
 	}
