Report usage by window, exactly once sealed

Where the platform names the duty, each instance counts the requests of each workspace that began to run, by window, and sends the counts to the planner leader until the window is settled. The leader seals the sums in a keyed topic of the store under a condition and reports exactly these; any later holder repeats them. Nothing changes where no duty is named.

go test -race ./state/tallier ./coordination/dutyholder ./coordination/gossiper ./protocol/proxy ./daemon/hosted passed.

--- /dev/null
+++ b/coordination/dutyholder/export_test.go
@@ -0,0 +1,6 @@
+package dutyholder
+
+import "context"
+
+// Step does what is due at once.
+func (h *UsageHolder) Step(ctx context.Context) { h.step(ctx) }
--- a/coordination/gossiper/aggregation.go
+++ b/coordination/gossiper/aggregation.go
@@ -82,7 +82,7 @@
 		return
 	}
 	events := heartbeat.events()
-	events.AdapterRequests = nil
+	events.AdapterRequests, events.Usage = nil, nil
 	// A heartbeat that has been decoded can be encoded.
 	if payload, err := encoder.Encode(events); err == nil {
 		a.toMembers = relay(a.toMembers, payload)
--- a/coordination/gossiper/heartbeat.go
+++ b/coordination/gossiper/heartbeat.go
@@ -11,6 +11,7 @@
 	"github.com/crocushollow/crocushollow/state/pinner"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
+	"github.com/crocushollow/crocushollow/state/tallier"
 	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
@@ -158,6 +159,11 @@
 	// Requests is news about requests that may crash upstreams, or nil. An aggregator relays
 	// it in partial heartbeats. Key 8 held counts of crashes.
 	Requests *quarantiner.RequestReport `cbor:"19,keyasint,omitempty"`
+	// Usage holds counts of requests, which only the planner leader needs.
+	Usage []tallier.Report `cbor:"22,keyasint,omitempty"`
+	// SettledWindows is the number of the windows of usage that are settled, from the first
+	// one on. It is 0 if the sender does not say.
+	SettledWindows int64 `cbor:"23,keyasint,omitempty"`
 }
 
 // IsPartial reports whether the heartbeat carries only events and not the status
@@ -172,12 +178,13 @@
 	partial.AdapterRequests, partial.Placements, partial.FeedUpdates = h.AdapterRequests, h.Placements, h.FeedUpdates
 	partial.Parts, partial.RateLimits, partial.Software = h.Parts, h.RateLimits, h.Software
 	partial.Pins, partial.PinQueries = h.Pins, h.PinQueries
+	partial.Usage, partial.SettledWindows = h.Usage, h.SettledWindows
 	return &partial
 }
 
 // hasRelayedEvents reports whether the heartbeat has events that aggregators relay.
 func (h *Heartbeat) hasRelayedEvents() bool {
-	return len(h.Placements) > 0 || h.Requests != nil || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0 || len(h.Software) > 0
+	return len(h.Placements) > 0 || h.Requests != nil || len(h.FeedUpdates) > 0 || h.Parts != nil || len(h.RateLimits) > 0 || len(h.Software) > 0 || h.SettledWindows > 0
 }
 
 // NewPartial returns an empty partial heartbeat.
@@ -195,6 +202,11 @@
 			return err
 		}
 	}
+	for i := range h.Usage {
+		if err := h.Usage[i].Validate(); err != nil {
+			return err
+		}
+	}
 	for i := range h.Pins {
 		if err := h.Pins[i].Validate(); err != nil {
 			return err
--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -119,6 +119,7 @@
 		i.registrar.Hear(heartbeat.Software)
 	}
 	i.origins.handle(heartbeat, now)
+	i.usage.handle(heartbeat, now)
 	if heartbeat.IsPartial() {
 		return
 	}
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -147,8 +148,10 @@
 	elector     *elector.Elector
 	campaign    *elector.CampaignPolicy
 	planner     *planner.Planner
-	proxy       *proxy.Proxy
-	egress      *platform.Egress
+	// usage is nil unless the operators want usage reports.
+	usage  *usageDuty
+	proxy  *proxy.Proxy
+	egress *platform.Egress
 	// engines checks engines for calls, and orders is the planner's client.
 	engines, orders *platform.EngineClient
 	// assembler is used by the control goroutine of the gossiper only.
@@ -192,6 +195,7 @@
 	store := platform.NewStore(settings.Store.Address)
 	i.registerGauges(store)
 	i.assembleControlPlane(store, link)
+	i.assembleDuties(store)
 	i.assembleDataPlane()
 	return i
 }
@@ -203,7 +207,7 @@
 	// Bounds and Logging are excluded from the comparison.
 	normalized := settings
 	normalized.Bounds, normalized.Logging = i.settings.Bounds, i.settings.Logging
-	i.logger.Info().Bool("needs_start", normalized != i.settings).Msg("settings reloaded")
+	i.logger.Info().Bool("needs_start", !reflect.DeepEqual(normalized, i.settings)).Msg("settings reloaded")
 }
 
 // Done returns a channel that is closed when Run has returned.
@@ -287,6 +291,7 @@
 	group.Go(func() error { return i.planner.Run(ctx) })
 	group.Go(func() error { return i.proxy.Run(ctx) })
 	group.Go(func() error { return i.registrar.Run(ctx) })
+	group.Go(func() error { return i.runDuties(ctx) })
 	group.Go(func() error { return i.origins.run(ctx) })
 	group.Go(func() error { return i.broadcastLoadChanges(ctx) })
 	group.Go(func() error { return i.broadcastPlacements(ctx) })
--- a/daemon/hosted/settings.go
+++ b/daemon/hosted/settings.go
@@ -19,6 +19,7 @@
 	Limits   LimitSettings    `toml:"limits"`
 	Bounds   BoundSettings    `toml:"bounds"`
 	Logging  LoggingSettings  `toml:"logging"`
+	Duties   DutySettings     `toml:"duties"`
 }
 
 // InstanceSettings identifies the instance.
@@ -173,5 +174,5 @@
 			return &daemon.SettingsError{Field: number.field, Reason: "must not be negative"}
 		}
 	}
-	return nil
+	return s.Duties.validate()
 }
--- a/daemon/hosted/settings_test.go
+++ b/daemon/hosted/settings_test.go
@@ -8,6 +8,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -31,8 +32,9 @@
 		"limits":     map[string]any{"memoryMb": 284, "cpuShare": 0.4},
 		"bounds": map[string]any{
 			"graceS": 8, "retryBudgetRatio": 0.2, "retryBudgetExtra": 56, "budgetWindowS": 10, "quotaWindowS": 8,
-			"quotaSlack": 17000, "coldOvershoot": 1.5, "coldSlack": 5, "leaseMs": 3000,
+			"quotaSlack": 17000, "coldOvershoot": 1.5, "coldSlack": 5, "leaseMs": 3000, "reportWindowS": 5, "usageLateS": 10,
 		},
+		"cloud": map[string]any{"address": "10.200.0.28:8781", "duties": []any{"usage_report", "autoscale"}, "dutyPerS": 50.0},
 	}
 }
 
@@ -53,6 +55,23 @@
 	placeholderPattern = regexp.MustCompile(`\{\{([\w.]+)(\|json)?\}\}`)
 )
 
+// renderSection renders a section as often as the list of its field has entries, or once if
+// the field is present.
+func renderSection(value any, text string) string {
+	GinkgoHelper()
+	entries, isList := value.([]any)
+	if !isList {
+		return text
+	}
+	var rendered []string
+	for _, entry := range entries {
+		encoded, err := json.Marshal(entry)
+		Expect(err).NotTo(HaveOccurred())
+		rendered = append(rendered, strings.ReplaceAll(text, "{{.|json}}", string(encoded)))
+	}
+	return strings.TrimSuffix(strings.ReplaceAll(strings.Join(rendered, ""), "{{,}}", ","), ",")
+}
+
 // render renders the settings template as the platform does: a section stays if its field is
 // present, and a field that is absent leaves nothing.
 func render(fields map[string]any) string {
@@ -62,10 +81,11 @@
 	withoutSections := sectionPattern.ReplaceAllStringFunc(string(text), func(section string) string {
 		match := sectionPattern.FindStringSubmatch(section)
 		Expect(match[1]).To(Equal(match[3]))
-		if _, found := lookUp(fields, match[1]); !found {
+		value, found := lookUp(fields, match[1])
+		if !found {
 			return ""
 		}
-		return match[2]
+		return renderSection(value, match[2])
 	})
 	return placeholderPattern.ReplaceAllStringFunc(withoutSections, func(placeholder string) string {
 		match := placeholderPattern.FindStringSubmatch(placeholder)
@@ -94,11 +114,13 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(settings.Listen.Peers).To(Equal("10.1.0.25:7600"))
 		Expect(settings.Bounds.RetryExtra).To(Equal(56.0))
+		Expect(settings.Duties.Kinds).To(Equal([]string{"usage_report", "autoscale"}))
+		Expect(time.Duration(*settings.Duties.UsageWindow)).To(Equal(5 * time.Second))
 	})
 
 	// Guards against instances that do not start where a rule, and so its bound, is not in force.
 	It("are parsed for every deployment, whichever optional fields it lacks", func() {
-		for _, section := range []string{"bounds", "limits"} {
+		for _, section := range []string{"bounds", "limits", "cloud"} {
 			whole := platformFields()
 			delete(whole, section)
 			settings, err := hosted.ParseSettings("instance.toml", []byte(render(whole)))
@@ -134,9 +156,14 @@
 			"listen.callers": strings.Replace(renderTemplate(), "10.1.0.25:8221", "somewhere", 1),
 			"bounds.grace":   strings.Replace(renderTemplate(), `grace = "8s"`, `grace = "0s"`, 1),
 
-			"bounds.lease":       strings.Replace(renderTemplate(), `lease = "3000ms"`, `lease = "soon"`, 1),
-			"bounds.quota_slack": strings.Replace(renderTemplate(), "quota_slack = 17000", "quota_slack = -1", 1),
-			"limits.memory_mb":   strings.Replace(renderTemplate(), "memory_mb = 284", "memory_mb = true", 1),
+			"bounds.lease":        strings.Replace(renderTemplate(), `lease = "3000ms"`, `lease = "soon"`, 1),
+			"bounds.quota_slack":  strings.Replace(renderTemplate(), "quota_slack = 17000", "quota_slack = -1", 1),
+			"duties.address":      strings.Replace(renderTemplate(), "10.200.0.28:8781", "somewhere", 1),
+			"duties.usage_window": strings.Replace(renderTemplate(), `usage_window = "5s"`, `usage_window = "0s"`, 1),
+
+			"duties.calls_per_second": strings.Replace(renderTemplate(), "calls_per_second = 50", "calls_per_second = nan", 1),
+
+			"limits.memory_mb": strings.Replace(renderTemplate(), "memory_mb = 284", "memory_mb = true", 1),
 		} {
 			_, err := hosted.ParseSettings("instance.toml", []byte(text))
 			var invalid *daemon.SettingsError
--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -129,6 +129,7 @@
 
 		RequestAdapter: i.requestAdapter,
 		AddDemand:      i.demand.add,
+		RecordUsage:    i.recordUsage,
 		Observer:       i.reporter,
 		Now:            time.Now,
 
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -200,7 +200,7 @@
 		Estimator:          estimator.New(),
 		Shutdown:           func() proxy.Shutdown { return proxy.Shutdown{} },
 		Throttler:          throttler.New(throttler.Config{OnNews: func() {}, OnChange: func(throttler.Statement) {}}),
-		RequestAdapter:     func(string, string, string) {}, AddDemand: func(string, float64) {},
+		RequestAdapter:     func(string, string, string) {}, AddDemand: func(string, float64) {}, RecordUsage: func(string) {},
 		Observer: discardObserver{}, Now: time.Now, MaxBufferedBytes: budget,
 	}
 	for _, change := range changes {
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -127,8 +127,10 @@
 	RequestAdapter func(service, model, adapter string)
 	// AddDemand adds to the demand for a model, in milliseconds of engine time.
 	AddDemand func(model string, milliseconds float64)
-	Observer  Observer
-	Now       func() time.Time
+	// RecordUsage records that an upstream has begun to run a call of a workspace.
+	RecordUsage func(workspace string)
+	Observer    Observer
+	Now         func() time.Time
 	// MaxBufferedBytes bounds the memory for parts of responses that cannot be
 	// forwarded yet, over all calls together. Each call may use bounder.MinBytes in
 	// addition.
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -111,6 +111,7 @@
 	if response.Status < http.StatusInternalServerError {
 		outcome = selector.Served
 		reservation.MarkFirstByte()
+		r.recordUsage()
 	}
 	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
@@ -191,3 +192,13 @@
 	}
 	r.writer.WriteError(apiErr)
 }
+
+// recordUsage records once that an upstream has begun to run the call. A call that resumes an
+// earlier stream was recorded with that one.
+func (r *run) recordUsage() {
+	if r.isMetered || r.call.LastEventID != "" || r.record.Workspace == "" {
+		return
+	}
+	r.isMetered = true
+	r.proxy.config.RecordUsage(r.record.Workspace)
+}
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -37,6 +37,8 @@
 	running *estimator.Run
 	// mayHaveRun reports that an upstream may have run the call.
 	mayHaveRun bool
+	// isMetered reports that the call was recorded as usage.
+	isMetered bool
 	// headerSent reports that the response header was sent to the caller.
 	headerSent bool
 	// stream is how much of a streamed response the caller received.
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -157,6 +157,7 @@
 	}
 	if isFirst {
 		reservation.MarkFirstByte()
+		r.recordUsage()
 	}
 	if !r.headerSent {
 		r.writeHeader(response)
