Admit calls to plain services by the expected time of their answer

Cause: an instance sent to a plain service only while a slot was free.

Change: a call goes into the upstream's own queue while its answer is expected within the objective, from the loads of all instances and a learnt service time, and is refused at once otherwise, with a spread Retry-After. Workspaces over their limit get free slots only. Routes without an objective are as before.

--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -144,6 +144,9 @@
 		routeKind = record.Route.Kind
 	}
 	r.set.GetOrCreateCounter(`crocushollow_calls_total{kind="` + string(routeKind) + `",outcome="` + kind + `",reason="` + reason + `"}`).Inc()
+	if record.Unplaced != selector.Chosen {
+		r.set.GetOrCreateCounter(`crocushollow_unplaced_calls_total{cause="` + record.Unplaced.String() + `"}`).Inc()
+	}
 	if record.TimeToFirstByte > 0 {
 		r.set.GetOrCreateHistogram(`crocushollow_first_byte_seconds{kind="` + string(routeKind) + `"}`).Update(record.TimeToFirstByte.Seconds())
 	}
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -75,6 +75,8 @@
 	QuotaState *allotter.LimitState
 	// Cause is the last failure.
 	Cause error
+	// Unplaced is why no upstream was chosen. It is Chosen if that did not end the call.
+	Unplaced selector.Result
 	// Shutdown is nil if the call was not checked during a shutdown.
 	Shutdown *ShutdownCheck
 	// End is how the response ended.
@@ -171,6 +173,7 @@
 	errAborted              = rejecter.New(http.StatusBadGateway, rejecter.InstanceShuttingDown, "the instance stopped before the upstream responded; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errUpstreamFailed       = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the upstream failed; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errRateLimited          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request ask for fewer requests")
+	errFull                 = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream can answer the request in time")
 	errNotAccepted          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream accepted the request").WithRetryAfter(notAcceptedRetryAfter)
 )
 
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -168,10 +168,10 @@
 	return waitKey{request.Service, request.Model, request.Adapter, request.SoftwareVersion}
 }
 
-// isFinal reports whether waiting cannot change the result of a selection soon: the
-// upstreams are rate-limited, or none is left that could continue the stream.
+// isFinal reports whether waiting cannot change the result of a selection in time: the
+// upstreams are rate-limited or cannot answer within the objective, or none is left that could continue the stream.
 func isFinal(request *selector.Request, result selector.Result) bool {
-	return result == selector.RateLimited || result == selector.NoUpstream && request.SoftwareVersion.IsKnown()
+	return result == selector.RateLimited || result == selector.Full || result == selector.NoUpstream && request.SoftwareVersion.IsKnown()
 }
 
 // compareWaiters orders calls by priority, then by deadline.
@@ -264,17 +264,32 @@
 
 // noUpstreamError returns the error of a call that no upstream was found for.
 func (r *run) noUpstreamError(result selector.Result) *rejecter.Error {
-	r.record.Cause = errors.New(result.String())
+	r.record.Cause, r.record.Unplaced = errors.New(result.String()), result
 	if r.mayHaveRun {
 		return errUpstreamFailed
 	}
 	if result == selector.RateLimited {
 		return errRateLimited.WithRetryAfter(min(r.proxy.config.Selector.RateLimitDelay(&r.request), maxRateLimitRetryAfter))
 	}
+	if result == selector.Full {
+		return errFull.WithRetryAfter(r.fullRetryAfter())
+	}
 	return rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded,
 		"no upstream was free in time: "+result.String()).WithRetryAfter(retryAfterByResult[result])
 }
 
+// minFullRetryAfter is the least delay after which a caller may retry a call that no upstream
+// could answer in time.
+const minFullRetryAfter = 50 * time.Millisecond
+
+// fullRetryAfter returns when a call that no upstream could answer in time may come back:
+// when a slot is free again, and up to twice as late, so that callers do not return together.
+func (r *run) fullRetryAfter() time.Duration {
+	config := &r.proxy.config
+	delay := max(config.Selector.PlainDelay(&r.request, config.Now()), minFullRetryAfter)
+	return time.Duration((1 + hashFraction(r.call.ID)) * float64(delay))
+}
+
 // hashFraction maps a request ID to a number in [0, 1).
 func hashFraction(id string) float64 {
 	return float64(xxhash.Sum64String(id)>>11) / float64(1<<53)
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -81,6 +81,8 @@
 		Caller:       r.record.Workspace,
 		Fingerprint:  uint64(r.fingerprint),
 		IsResumable:  r.route.IsResumable(),
+		Objective:    r.route.LatencyObjective,
+		IsOverLimit:  r.workspace != nil && config.Allotter.IsOverLimit(r.workspace, config.Now()),
 	}
 	if apiErr := r.takeUp(ctx); apiErr != nil {
 		r.fail(ctx, apiErr)
--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -251,6 +251,17 @@
 	}
 }
 
+// IsOverLimit reports whether a workspace asks for more than its limit, over all instances.
+func (a *Allotter) IsOverLimit(workspace *catalog.Workspace, now time.Time) bool {
+	if workspace.Rate <= 0 {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.bucket(workspace.Name, now)
+	return b.refillRate > 0 && b.totalDemand() > b.refillRate
+}
+
 // Bounds of the retry delay that is returned with a refused request.
 const (
 	minRetryDelay = 200 * time.Millisecond
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -19,6 +19,7 @@
 	}
 	r.attempt.firstBytes = c.health.firstBytes
 	c.ownLoad.InFlight++
+	r.inFlight = c.inFlight()
 	c.ownLoad.WaitingTokens += r.waitingTokens
 	c.ownLoad.CacheTokens += r.cacheTokens
 	c.cachedPrefixes.add(request.Prefixes)
@@ -42,6 +43,8 @@
 	waitingTokens float64
 	// cacheTokens is the space in the KV cache that the request needs.
 	cacheTokens float64
+	// inFlight is the number of requests at the upstream when this one was sent, with it.
+	inFlight int
 	// isTrial means that the request is a trial that has not ended.
 	isTrial  bool
 	released bool
@@ -83,6 +86,9 @@
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
 	r.endTrial(outcome == Served)
+	if r.attempt.kind.model == "" {
+		r.selector.learnPlain(r, outcome, now)
+	}
 	if r.selector.recordOutcome(c, &r.attempt, outcome, now) {
 		r.selector.config.OnHealthChange(HealthChange{
 			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.failureCount, Backoff: c.health.ejectedUntil.Sub(now),
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -38,9 +38,6 @@
 	// requests may use. The rest holds cached prompt prefixes and leaves room for
 	// requests of peers that are not in a heartbeat yet.
 	maxCacheFraction = 0.8
-	// plainRequestCostMillis is the latency that each running request adds on an
-	// upstream of a plain service with a single slot.
-	plainRequestCostMillis = 60.0
 )
 
 // Request describes a request that needs an upstream.
@@ -70,6 +67,12 @@
 	Excluded []string
 	// IsWaiting means that the request was not sent when it arrived.
 	IsWaiting bool
+	// Objective is the time within which the request should be answered. It is 0 if there
+	// is none. It is used for plain services only.
+	Objective time.Duration
+	// IsOverLimit means that the caller's workspace asks for more than its limit, over all
+	// instances.
+	IsOverLimit bool
 }
 
 // Prefix is the first part of a prompt, which other prompts may share.
@@ -89,6 +92,9 @@
 const (
 	// Chosen means that an upstream was chosen.
 	Chosen Result = iota
+	// Full means that upstreams of a plain service accept requests but cannot answer this
+	// one in time.
+	Full
 	// Busy means that suitable upstreams exist but have no capacity left.
 	Busy
 	// AdapterAbsent means that the model is loaded but not the adapter.
@@ -105,7 +111,7 @@
 
 // String implements fmt.Stringer.
 func (r Result) String() string {
-	return [...]string{"chosen", "busy", "adapter_absent", "rate_limited", "model_absent", "no_upstream"}[r]
+	return [...]string{"chosen", "full", "busy", "adapter_absent", "rate_limited", "model_absent", "no_upstream"}[r]
 }
 
 // Config configures a Selector.
@@ -161,6 +167,8 @@
 	changedLoads map[string]bool
 	// compared holds the candidates whose health has a comparison.
 	compared map[*candidate]bool
+	// serviceTimes holds the averages of all upstreams of each plain service.
+	serviceTimes map[string]serviceTime
 }
 
 // candidate is an upstream with its load and its health.
@@ -182,6 +190,8 @@
 	// a rate limit. It is above 0 and at most 1.
 	acceptance     float64
 	cachedPrefixes prefixCache
+	// pace is known of upstreams of plain services only.
+	pace plainPace
 }
 
 // isSucceededBy reports whether a registration is that of another process than the
@@ -199,6 +209,7 @@
 		peers:        make(map[string]peer),
 		changedLoads: make(map[string]bool),
 		compared:     make(map[*candidate]bool),
+		serviceTimes: make(map[string]serviceTime),
 	}
 }
 
@@ -271,7 +282,7 @@
 		best = ejected
 	}
 	if best.candidate == nil {
-		return nil, max(result, Busy)
+		return nil, max(result, Full)
 	}
 	return s.reserve(best.candidate, request, now), Chosen
 }
@@ -324,6 +335,9 @@
 	if c.health.inBackoff(now) || !c.health.allowsTrial() || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
+	if request.Model == "" {
+		return s.plainEligibility(c, request, now)
+	}
 	if !c.hasCapacity(request, service) {
 		return Busy
 	}
@@ -334,9 +348,6 @@
 // it.
 func (c *candidate) hasCapacity(request *Request, service *catalog.Service) bool {
 	inFlight := c.ownLoad.InFlight + c.peerLoad.InFlight
-	if request.Model == "" {
-		return inFlight < c.upstream.Slots
-	}
 	if float64(inFlight) >= maxSlotFraction*float64(c.upstream.Slots) {
 		return false
 	}
@@ -364,10 +375,10 @@
 		cost += crossZoneCostMillis
 	}
 	cost += c.health.penaltyMillis(now)
-	inFlight := float64(c.ownLoad.InFlight + c.peerLoad.InFlight)
 	if request.Model == "" {
-		return cost + inFlight*plainRequestCostMillis/float64(max(c.upstream.Slots, 1)) + tieBreakMillis(c.hash, 0)
+		return cost + s.plainCostMillis(c, request, now)
 	}
+	inFlight := float64(c.ownLoad.InFlight + c.peerLoad.InFlight)
 	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
 	cost += (waiting + c.uncachedTokens(request)) / prefillTokensPerMilli
 	cost += inFlight * runningRequestCostMillis
