Order waiting calls by the priority of their workspace

Cause: the queue used the route's priority, though that of a workspace takes precedence. Change: the call's priority is that of its workspace if it has one.

--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -211,7 +211,7 @@
 	config := &r.proxy.config
 	startedAt := config.Now()
 	defer func() { r.record.QueueTime += config.Now().Sub(startedAt) }()
-	w, reservation, result := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.route.Priority)
+	w, reservation, result := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.priority())
 	if w == nil {
 		return reservation, result
 	}
@@ -232,6 +232,14 @@
 	return nil, w.result
 }
 
+// priority returns the priority of the call: that of its workspace if it has one.
+func (r *run) priority() int {
+	if r.workspace != nil && r.workspace.Priority >= 0 {
+		return r.workspace.Priority
+	}
+	return r.route.Priority
+}
+
 // continuationWait is how long a stream that broke off waits for an upstream that can
 // continue it. Callers give up on a stream that pauses for 2 s.
 const continuationWait = time.Second
