--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -77,6 +77,8 @@
 	QuotaState *allotter.LimitState
 	// Cause is the last failure.
 	Cause error
+	// Unplaced is why no upstream was chosen. It is Chosen if that did not end the call.
+	Unplaced selector.Result
 	// Shutdown is nil if the call was not checked during a shutdown.
 	Shutdown *ShutdownCheck
 	// End is how the response ended.
@@ -176,6 +178,7 @@
 	errUpstreamFailed       = rejecter.New(http.StatusBadGateway, rejecter.UpstreamFailed, "the upstream failed; the request may have run").WithOutcome(crocushollow.OutcomeUnknown)
 	errRateLimited          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request ask for fewer requests")
 	errPaused               = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "the upstreams that could serve the request have asked for a pause")
+	errFull                 = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream can answer the request in time")
 	errNotAccepted          = rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded, "no upstream accepted the request").WithRetryAfter(notAcceptedRetryAfter)
 )
 
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -169,11 +169,11 @@
 }
 
 // isFinal reports whether waiting cannot change the result of a selection in time: the
-// upstreams are rate-limited or pause for too long, or none is left that could continue the
-// stream.
+// upstreams are rate-limited, cannot answer within the objective or pause for too long, or none
+// is left that could continue the stream.
 func (q *queue) isFinal(w *waiter, result selector.Result, now time.Time) bool {
 	switch result {
-	case selector.RateLimited:
+	case selector.RateLimited, selector.Full:
 		return true
 	case selector.Paused:
 		return now.Add(q.config.Selector.PauseDelay(w.request, now)).After(w.deadline)
@@ -221,7 +221,7 @@
 	config := &r.proxy.config
 	startedAt := config.Now()
 	defer func() { r.record.QueueTime += config.Now().Sub(startedAt) }()
-	w, reservation, result := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.route.Priority)
+	w, reservation, result := r.proxy.queue.enqueue(&r.request, r.queueDeadline(), r.priority())
 	if w == nil {
 		return reservation, result
 	}
@@ -242,6 +242,14 @@
 	return nil, w.result
 }
 
+// priority returns the priority of the call: that of its workspace if it has one.
+func (r *run) priority() int {
+	if r.workspace != nil && r.workspace.Priority >= 0 {
+		return r.workspace.Priority
+	}
+	return r.route.Priority
+}
+
 // continuationWait is how long a stream that broke off waits for an upstream that can
 // continue it. Callers give up on a stream that pauses for 2 s.
 const continuationWait = time.Second
@@ -274,7 +282,7 @@
 
 // noUpstreamError returns the error of a call that no upstream was found for.
 func (r *run) noUpstreamError(result selector.Result) *rejecter.Error {
-	r.record.Cause = errors.New(result.String())
+	r.record.Cause, r.record.Unplaced = errors.New(result.String()), result
 	if r.mayHaveRun {
 		return errUpstreamFailed
 	}
@@ -284,10 +292,25 @@
 	if result == selector.Paused {
 		return errPaused.WithRetryAfter(r.proxy.config.Selector.PauseDelay(&r.request, r.proxy.config.Now()))
 	}
+	if result == selector.Full {
+		return errFull.WithRetryAfter(r.fullRetryAfter())
+	}
 	return rejecter.New(http.StatusServiceUnavailable, rejecter.Overloaded,
 		"no upstream was free in time: "+result.String()).WithRetryAfter(retryAfterByResult[result])
 }
 
+// minFullRetryAfter is the least delay after which a caller may retry a call that no upstream
+// could answer in time.
+const minFullRetryAfter = 50 * time.Millisecond
+
+// fullRetryAfter returns when a call that no upstream could answer in time may come back:
+// when a slot is free again, and up to twice as late, so that callers do not return together.
+func (r *run) fullRetryAfter() time.Duration {
+	config := &r.proxy.config
+	delay := max(config.Selector.PlainDelay(&r.request, config.Now()), minFullRetryAfter)
+	return time.Duration((1 + hashFraction(r.call.ID)) * float64(delay))
+}
+
 // hashFraction maps a request ID to a number in [0, 1).
 func hashFraction(id string) float64 {
 	return float64(xxhash.Sum64String(id)>>11) / float64(1<<53)
