Choose only idle upstreams at other addresses for a request that repeats another

A second attempt that is sent in addition to one that still runs must delay no other request and must not reach the upstream that is slow. Such a request needs half of the slots free, few waiting prompt tokens, another address, and no ejection. Other requests are chosen for as before.

go test -race ./state/selector: passes.

--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -68,6 +68,11 @@
 	IsResumable bool
 	// Excluded lists the IDs of upstreams that must not be chosen.
 	Excluded []string
+	// ExcludedAddresses lists the addresses at which no upstream must be chosen.
+	ExcludedAddresses []string
+	// IsSpare means that the request repeats another that still runs, so that it may take
+	// idle capacity only.
+	IsSpare bool
 	// IsWaiting means that the request was not sent when it arrived.
 	IsWaiting bool
 }
@@ -266,7 +271,7 @@
 			best.add(c, s.costMillis(c, request, now))
 		}
 	}
-	if best.candidate == nil && !hasOther {
+	if best.candidate == nil && !hasOther && !request.IsSpare {
 		// All upstreams that could serve the request have failed.
 		best = ejected
 	}
@@ -301,7 +306,7 @@
 	if r.SoftwareVersion.IsKnown() && upstream.SoftwareVersion != r.SoftwareVersion {
 		return false
 	}
-	return !slices.Contains(r.Excluded, upstream.ID)
+	return !slices.Contains(r.Excluded, upstream.ID) && !slices.Contains(r.ExcludedAddresses, upstream.Address)
 }
 
 // eligibility returns Chosen if the request can be sent to the upstream now, and
@@ -334,6 +339,9 @@
 // it.
 func (c *candidate) hasCapacity(request *Request, service *catalog.Service) bool {
 	inFlight := c.ownLoad.InFlight + c.peerLoad.InFlight
+	if request.IsSpare && !c.isIdle() {
+		return false
+	}
 	if request.Model == "" {
 		return inFlight < c.upstream.Slots
 	}
