Send a call on a slow upstream to a second one

A call that may be repeated and whose upstream has not answered within the hedger's delay is sent once more, to another upstream at another address. The first whole success wins, of a stream the first event; a failure waits for the other attempt. The slower one is cancelled and its reservation released before the caller gets a byte. Off by default: [hedging] max_extra sets the limit.

go test -race ./protocol/proxy ./state/hedger ./state/selector ./daemon/hosted: passes.

--- a/daemon/hosted/reporter.go
+++ b/daemon/hosted/reporter.go
@@ -109,6 +109,9 @@
 		line.Float64("limit_level", quota.Level).Float64("limit_rate", quota.Rate).Float64("limit_demand", quota.Demand).
 			Float64("limit_share", quota.Share).Int("limit_instances", quota.InstanceCount)
 	}
+	if record.Hedge != "" {
+		line.Str("hedge", string(record.Hedge))
+	}
 	if record.Cause != nil {
 		line.AnErr("cause", record.Cause)
 	}
@@ -182,6 +185,19 @@
 	}
 }
 
+// HedgeChanged implements proxy.Observer.
+func (r *reporter) HedgeChanged(record proxy.HedgeRecord) {
+	r.set.GetOrCreateCounter(`crocushollow_hedges_total{result="` + string(record.Result) + `"}`).Inc()
+	if record.Result == proxy.HedgeWon || record.Result == proxy.HedgeLost {
+		r.set.GetOrCreateHistogram(`crocushollow_hedged_first_byte_seconds{result="` + string(record.Result) + `"}`).Update(record.Delay.Seconds())
+	}
+	if record.Result != proxy.HedgeSent || !r.allowLine("attempt") {
+		return
+	}
+	r.logger.Info().Str("request_id", record.Call.ID).Str("upstream", record.Upstream).
+		Dur("waited", record.Delay).Msg("hedge sent")
+}
+
 // ServeHTTP writes the metrics in the Prometheus text format.
 func (r *reporter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	r.set.WritePrometheus(w)
--- a/daemon/hosted/settings.go
+++ b/daemon/hosted/settings.go
@@ -19,6 +19,7 @@
 	Limits   LimitSettings    `toml:"limits"`
 	Bounds   BoundSettings    `toml:"bounds"`
 	Logging  LoggingSettings  `toml:"logging"`
+	Hedging  HedgingSettings  `toml:"hedging"`
 }
 
 // InstanceSettings identifies the instance.
@@ -100,6 +101,19 @@
 	Level string `toml:"level"`
 }
 
+// HedgingSettings limit the second attempts of calls whose upstream is slow.
+type HedgingSettings struct {
+	// MaxExtra is the maximum number of second attempts per request in each retry window. At 0
+	// there are none.
+	MaxExtra float64 `toml:"max_extra"`
+	// Percentile is the fraction of the requests of a route that respond before a second
+	// attempt is sent. It is above 0 and below 1.
+	Percentile float64 `toml:"percentile"`
+}
+
+// defaultHedgePercentile is the percentile of a site that sets none.
+const defaultHedgePercentile = 0.95
+
 // LoadSettings reads, parses and validates a settings file.
 func LoadSettings(file string) (Settings, error) {
 	text, err := os.ReadFile(file)
@@ -116,6 +130,7 @@
 		Store:   StoreSettings{MinTTL: daemon.Duration(defaultMinTTL)},
 		Bounds:  defaultBounds,
 		Logging: LoggingSettings{Level: "info"},
+		Hedging: HedgingSettings{Percentile: defaultHedgePercentile},
 	}
 	if err := toml.Unmarshal(text, &settings); err != nil {
 		return settings, daemon.DecodeSettingsError(file, err)
@@ -168,10 +183,14 @@
 		{"bounds.quota_slack", s.Bounds.QuotaSlack},
 		{"bounds.cold_overshoot", s.Bounds.ColdOvershoot},
 		{"bounds.cold_slack", s.Bounds.ColdSlack},
+		{"hedging.max_extra", s.Hedging.MaxExtra},
 	} {
 		if number.value < 0 || math.IsNaN(number.value) {
 			return &daemon.SettingsError{Field: number.field, Reason: "must not be negative"}
 		}
 	}
+	if percentile := s.Hedging.Percentile; !(percentile > 0 && percentile < 1) {
+		return &daemon.SettingsError{Field: "hedging.percentile", Reason: "must be above 0 and below 1"}
+	}
 	return nil
 }
--- a/daemon/hosted/settings_test.go
+++ b/daemon/hosted/settings_test.go
@@ -123,6 +123,15 @@
 		Expect(settings.Bounds.ColdSlack).To(BeZero())
 	})
 
+	It("allow no second attempts unless the operators set a limit", func() {
+		settings, err := hosted.ParseSettings("instance.toml", []byte(renderTemplate()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Hedging.MaxExtra).To(BeZero())
+		settings, err = hosted.ParseSettings("instance.toml", []byte(renderTemplate()+"\n[hedging]\nmax_extra = 0.05\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(settings.Hedging).To(Equal(hosted.HedgingSettings{MaxExtra: 0.05, Percentile: 0.95}))
+	})
+
 	It("may have unknown fields", func() {
 		_, err := hosted.ParseSettings("instance.toml", []byte(renderTemplate()+"\n[later]\nfield = 1\n"))
 		Expect(err).NotTo(HaveOccurred())
@@ -136,6 +145,8 @@
 
 			"bounds.lease":       strings.Replace(renderTemplate(), `lease = "3000ms"`, `lease = "soon"`, 1),
 			"bounds.quota_slack": strings.Replace(renderTemplate(), "quota_slack = 17000", "quota_slack = -1", 1),
+			"hedging.max_extra":  renderTemplate() + "\n[hedging]\nmax_extra = -0.1\n",
+			"hedging.percentile": renderTemplate() + "\n[hedging]\npercentile = 95\n",
 			"limits.memory_mb":   strings.Replace(renderTemplate(), "memory_mb = 284", "memory_mb = true", 1),
 		} {
 			_, err := hosted.ParseSettings("instance.toml", []byte(text))
--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/estimator"
+	"github.com/crocushollow/crocushollow/state/hedger"
 	"github.com/crocushollow/crocushollow/state/selector"
 )
 
@@ -116,6 +117,12 @@
 			Instances:    instanceCount,
 			StartTime:    i.startedAt,
 		}),
+		Hedger: hedger.New(hedger.Config{
+			MaxExtra:   i.settings.Hedging.MaxExtra,
+			Percentile: i.settings.Hedging.Percentile,
+			Window:     time.Duration(bounds.RetryWindow),
+			StartTime:  i.startedAt,
+		}),
 		Quarantiner: i.quarantiner,
 		Parts:       i.parts,
 		Throttler:   i.throttler,
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -20,6 +20,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/estimator"
+	"github.com/crocushollow/crocushollow/state/hedger"
 	"github.com/crocushollow/crocushollow/state/pinner"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
@@ -151,6 +152,7 @@
 func (discardObserver) CallEnded(proxy.CallRecord)       {}
 func (discardObserver) AttemptEnded(proxy.AttemptRecord) {}
 func (discardObserver) RateLimitInvalid(string, error)   {}
+func (discardObserver) HedgeChanged(proxy.HedgeRecord)   {}
 
 const (
 	upstreamCount = 300
@@ -165,6 +167,13 @@
 // startProxy starts a proxy before upstreams of one service, with changes to its settings.
 func startProxy(sender proxy.Sender, changes ...func(*proxy.Config)) *proxy.Proxy {
 	GinkgoHelper()
+	p, stop := newProxy(sender, changes...)
+	DeferCleanup(stop)
+	return p
+}
+
+// newProxy is like startProxy. The caller must stop the proxy.
+func newProxy(sender proxy.Sender, changes ...func(*proxy.Config)) (*proxy.Proxy, func()) {
 	route := func(prefix string, kind catalog.RouteKind, timeout time.Duration) catalog.Route {
 		return catalog.Route{
 			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, Timeout: timeout, MaxAttempts: 2,
@@ -173,11 +182,13 @@
 	}
 	resumable := route("/stream/resumable/", catalog.Streaming, shortTimeout)
 	resumable.Resumable = true
+	persistent := route("/stream/persistent/", catalog.Streaming, shortTimeout)
+	persistent.Resumable, persistent.MaxAttempts = true, 3
 	table, err := catalog.New(catalog.Config{
 		Version: 1, Services: []catalog.Service{{Name: "s"}},
 		Routes: []catalog.Route{
-			route("/plain/", catalog.NonIdempotent, routeTimeout), route("/stream/", catalog.Streaming, routeTimeout),
-			route("/stream/short/", catalog.Streaming, shortTimeout), resumable,
+			route("/plain/", catalog.NonIdempotent, routeTimeout), route("/safe/", catalog.Idempotent, routeTimeout), route("/stream/", catalog.Streaming, routeTimeout),
+			route("/stream/short/", catalog.Streaming, shortTimeout), resumable, persistent,
 		},
 	})
 	Expect(err).NotTo(HaveOccurred())
@@ -194,6 +205,7 @@
 		Budgeter: budgeter.New(budgeter.Config{
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
+		Hedger:      hedger.New(hedger.Config{}),
 		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
 		Origins:            unknownOrigins{},
 		ConfirmIncarnation: func(context.Context, *catalog.Upstream) error { return nil },
@@ -209,11 +221,10 @@
 	p := proxy.New(config)
 	ctx, stop := context.WithCancel(context.Background())
 	go func() { _ = p.Run(ctx) }()
-	DeferCleanup(func() {
+	return p, func() {
 		stop()
 		<-p.Done()
-	})
-	return p
+	}
 }
 
 var callNumber atomic.Int64
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/estimator"
+	"github.com/crocushollow/crocushollow/state/hedger"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -34,6 +35,8 @@
 	AttemptEnded(record AttemptRecord)
 	// RateLimitInvalid receives a rate limit of an upstream that cannot be decoded.
 	RateLimitInvalid(upstream string, err error)
+	// HedgeChanged receives each decision on a hedge, and the end of each that was sent.
+	HedgeChanged(record HedgeRecord)
 }
 
 // AttemptRecord describes a finished attempt.
@@ -73,6 +76,8 @@
 	// QuotaState is the state of the workspace's rate limit if that rejected the
 	// call, or nil.
 	QuotaState *allotter.LimitState
+	// Hedge is how the decision on a hedge ended, or empty if none was due.
+	Hedge HedgeResult
 	// Cause is the last failure.
 	Cause error
 	// Shutdown is nil if the call was not checked during a shutdown.
@@ -110,6 +115,7 @@
 	Selector    *selector.Selector
 	Allotter    *allotter.Allotter
 	Budgeter    *budgeter.Budgeter
+	Hedger      *hedger.Hedger
 	Quarantiner *quarantiner.Quarantiner
 	Parts       *quarantiner.PartQuarantiner
 	Throttler   *throttler.Throttler
--- a/protocol/proxy/queue.go
+++ b/protocol/proxy/queue.go
@@ -193,6 +193,13 @@
 	return nil
 }
 
+// hasWaiter reports whether a call waits for the upstreams that a request needs.
+func (q *queue) hasWaiter(request *selector.Request) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiterFor(request) != nil
+}
+
 // remove removes a waiter from the queue, or returns the reservation that it
 // received in the meantime.
 func (q *queue) remove(w *waiter) *selector.Reservation {
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -178,33 +178,31 @@
 		reservation.Release(selector.Unreachable, config.Now())
 		return retry
 	}
-	sentAt := config.Now()
 	r.stream.beginAttempt()
-	response, err := config.Sender.Send(ctx, Attempt{
-		Call:        r.call,
-		Upstream:    reservation.Upstream,
-		Workspace:   r.record.Workspace,
-		TimeLeft:    r.deadline.Sub(sentAt),
-		LastEventID: r.lastEventID(),
-		Repeat:      r.countSend(reservation.Upstream.Address),
-		Retryable:   r.route.IsRetryable(),
-	})
+	sent := r.send(ctx, reservation)
+	defer sent.cancel()
 	var outcome selector.Outcome
 	var next attemptResult
-	if err != nil {
-		outcome, next = r.handleSendError(ctx, reservation, err)
+	if sent.err != nil {
+		outcome, next = r.handleSendError(ctx, sent.reservation, sent.err)
 	} else {
-		outcome, next = r.handleResponse(ctx, reservation, response)
-		response.Body.Close()
+		outcome, next = r.handleResponse(ctx, sent.reservation, sent.response)
+		sent.response.Body.Close()
 	}
+	r.endAttempt(sent, outcome, r.stream.eventsOfAttempt())
+	return next
+}
+
+// endAttempt releases the reservation of an attempt and reports its end.
+func (r *run) endAttempt(sent *flight, outcome selector.Outcome, events int) {
+	config := &r.proxy.config
 	now := config.Now()
-	reservation.Release(outcome, now)
+	sent.reservation.Release(outcome, now)
 	r.proxy.Wake()
 	config.Observer.AttemptEnded(AttemptRecord{
-		Call: r.call, Upstream: reservation.Upstream.ID, Result: resultName(outcome),
-		Events: r.stream.eventsOfAttempt(), Duration: now.Sub(sentAt), Cause: r.record.Cause,
+		Call: r.call, Upstream: sent.reservation.Upstream.ID, Result: resultName(outcome),
+		Events: events, Duration: now.Sub(sent.sentAt), Cause: r.record.Cause,
 	})
-	return next
 }
 
 // confirmIncarnation checks an upstream that is about to continue a stream. An upstream that
