--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/crocushollow/crocushollow/state/allotter"
 	"github.com/crocushollow/crocushollow/state/budgeter"
 	"github.com/crocushollow/crocushollow/state/estimator"
+	"github.com/crocushollow/crocushollow/state/hedger"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 	"github.com/crocushollow/crocushollow/state/selector"
 	"github.com/crocushollow/crocushollow/state/throttler"
@@ -36,6 +37,8 @@
 	StatementInvalid(upstream string, err error)
 	// AvailabilityChanged receives that an upstream leaves or has asked for a pause.
 	AvailabilityChanged(upstream string, stated Availability)
+	// HedgeChanged receives each decision on a hedge, and the end of each that was sent.
+	HedgeChanged(record HedgeRecord)
 }
 
 // AttemptRecord describes a finished attempt.
@@ -75,6 +78,8 @@
 	// QuotaState is the state of the workspace's rate limit if that rejected the
 	// call, or nil.
 	QuotaState *allotter.LimitState
+	// Hedge is how the decision on a hedge ended, or empty if none was due.
+	Hedge HedgeResult
 	// Cause is the last failure.
 	Cause error
 	// Unplaced is why no upstream was chosen. It is Chosen if that did not end the call.
@@ -114,6 +119,7 @@
 	Selector    *selector.Selector
 	Allotter    *allotter.Allotter
 	Budgeter    *budgeter.Budgeter
+	Hedger      *hedger.Hedger
 	Quarantiner *quarantiner.Quarantiner
 	Parts       *quarantiner.PartQuarantiner
 	Throttler   *throttler.Throttler
--- a/state/selector/outlier_test.go
+++ b/state/selector/outlier_test.go
@@ -309,3 +309,30 @@
 	}
 	return count
 }
+
+var _ = Describe("A request that only an ejected upstream could serve now", func() {
+	// Guards against requests that are refused at once as if no upstream could serve them in time.
+	It("waits while the others are busy", func() {
+		s := newSelector(topology(engine("e1", "za", m0), engine("e2", "za", m0)), 100)
+		only := func(id string) *selector.Request {
+			r := request("m0", "")
+			r.PromptTokens, r.Excluded = 1, []string{map[string]string{"e1": "e2", "e2": "e1"}[id]}
+			return r
+		}
+		now := start
+		for range 6 {
+			now = now.Add(3 * time.Second)
+			reservation, _ := s.Choose(only("e1"), now)
+			reservation.Release(selector.Unreachable, now)
+		}
+		// The backoff has ended, and the ejection has not.
+		now = now.Add(2 * time.Second)
+		for {
+			if _, result := s.Choose(only("e2"), now); result != selector.Chosen {
+				break
+			}
+		}
+		_, result := s.Choose(request("m0", ""), now)
+		Expect(result).To(Equal(selector.Busy))
+	})
+})
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -65,6 +65,11 @@
 	IsResumable bool
 	// Excluded lists the IDs of upstreams that must not be chosen.
 	Excluded []string
+	// ExcludedAddresses lists the addresses at which no upstream must be chosen.
+	ExcludedAddresses []string
+	// IsSpare means that the request repeats another that still runs, so that it may take
+	// idle capacity only.
+	IsSpare bool
 	// IsWaiting means that the request was not sent when it arrived.
 	IsWaiting bool
 	// Objective is the time within which the request should be answered. It is 0 if there
@@ -282,12 +287,16 @@
 			best.add(c, s.costMillis(c, request, now))
 		}
 	}
-	if best.candidate == nil && !hasOther {
+	if best.candidate == nil && !hasOther && !request.IsSpare {
 		// All upstreams that could serve the request have failed.
 		best = ejected
 	}
 	if best.candidate == nil {
-		return nil, max(result, Full)
+		if result == Chosen {
+			// Only ejected upstreams could serve the request now.
+			result = Busy
+		}
+		return nil, result
 	}
 	return s.reserve(best.candidate, request, now), Chosen
 }
@@ -317,7 +326,7 @@
 	if r.SoftwareVersion.IsKnown() && upstream.SoftwareVersion != r.SoftwareVersion {
 		return false
 	}
-	return !slices.Contains(r.Excluded, upstream.ID)
+	return !slices.Contains(r.Excluded, upstream.ID) && !slices.Contains(r.ExcludedAddresses, upstream.Address)
 }
 
 // eligibility returns Chosen if the request can be sent to the upstream now, and
@@ -340,6 +349,9 @@
 	if !s.rateLimitAllows(c, request, now) {
 		return RateLimited
 	}
+	if request.IsSpare && !c.isIdle() {
+		return Busy
+	}
 	if c.health.inBackoff(now) || !c.health.allowsTrial() || !s.coldLimitAllows(c, service, now) {
 		return Busy
 	}
