--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -28,6 +28,9 @@
 		r.record.Cause = errNotVerified
 		return selector.Broken, r.afterFailure()
 	}
+	if response.Status != http.StatusOK || r.route.Kind != catalog.Streaming {
+		r.recordUsage()
+	}
 	if promisesNotRun(response.Status) {
 		r.record.Cause = errUnstatedRefusal
 		return selector.Failed, r.afterFailure()
@@ -111,7 +114,6 @@
 	if response.Status < http.StatusInternalServerError {
 		outcome = selector.Served
 		reservation.MarkFirstByte()
-		r.recordUsage()
 	}
 	response.Header.Set("Content-Length", strconv.Itoa(len(body.Bytes())))
 	r.writeHeader(response)
@@ -193,8 +195,9 @@
 	r.writer.WriteError(apiErr)
 }
 
-// recordUsage records once that an upstream has begun to run the call. A call that resumes an
-// earlier stream was recorded with that one.
+// recordUsage records once that an upstream has begun to run the call: with the first event of
+// a stream, or with any other response of an upstream that does not say that it has not run the
+// call. A call that resumes an earlier stream was recorded with that one.
 func (r *run) recordUsage() {
 	if r.isMetered || r.call.LastEventID != "" || r.record.Workspace == "" {
 		return
