Count hedges that brought no success by themselves

A hedge counted as lost or won also where the call failed or its caller left, so the counters said more of the delay than they know. Such hedges are now failed.

go test -race ./protocol/proxy: passes.

--- a/protocol/proxy/hedge.go
+++ b/protocol/proxy/hedge.go
@@ -24,6 +24,8 @@
 	// HedgeWon means that the call went on with the second attempt, HedgeLost with the first.
 	HedgeWon  HedgeResult = "won"
 	HedgeLost HedgeResult = "lost"
+	// HedgeFailed means that neither attempt brought a success, or that the call ended before.
+	HedgeFailed HedgeResult = "failed"
 )
 
 const deniedPrefix = "denied_"
@@ -190,9 +192,13 @@
 	excluded := slices.DeleteFunc(r.request.Excluded, func(id string) bool { return id == chosen.reservation.Upstream.ID })
 	r.request.Excluded = append(excluded, chosen.reservation.Upstream.ID)
 	r.record.Upstream = chosen.reservation.Upstream.ID
-	r.record.Hedge = HedgeLost
-	if chosen == second {
+	switch {
+	case !chosen.isWhole:
+		r.record.Hedge = HedgeFailed
+	case chosen == second:
 		r.record.Hedge = HedgeWon
+	default:
+		r.record.Hedge = HedgeLost
 	}
 	r.proxy.config.Observer.HedgeChanged(HedgeRecord{
 		Call: r.call, Result: r.record.Hedge, Upstream: second.reservation.Upstream.ID, Delay: chosen.readyAt.Sub(first.sentAt),
--- a/protocol/proxy/hedge_test.go
+++ b/protocol/proxy/hedge_test.go
@@ -338,6 +338,7 @@
 		Expect(sender.attempts(2)).To(HaveLen(1))
 		Eventually(sender.cancelled.Load).Should(BeNumerically("==", 2))
 		Expect(observer.calls[0].End).To(Equal(proxy.CallerLeft))
+		Expect(observer.hedges).To(Equal([]proxy.HedgeResult{proxy.HedgeSent, proxy.HedgeFailed}))
 	})
 })
 
