Log the status with which an upstream turned a call away

Cause: the log said only that an upstream did not run the request, so an engine without the model looked like one that is full. Change: the cause names the status. Tested: go test ./protocol/proxy (focus: Refusals of upstreams).

--- a/protocol/proxy/refusal_test.go
+++ b/protocol/proxy/refusal_test.go
@@ -25,7 +25,26 @@
 	return &response, nil
 }
 
+// causeObserver keeps the causes of attempts.
+type causeObserver struct {
+	discardObserver
+	causes []string
+}
+
+func (o *causeObserver) AttemptEnded(record proxy.AttemptRecord) {
+	o.causes = append(o.causes, record.Cause.Error())
+}
+
 var _ = Describe("Refusals of upstreams", func() {
+	// Guards against refusals whose reason nobody can see afterwards: an engine without the model
+	// looks like one that is full.
+	It("are recorded with their status", func() {
+		observer := &causeObserver{}
+		sender := &fixedSender{response: proxy.Response{Status: http.StatusMisdirectedRequest, NotRun: true}}
+		serve(startProxy(sender, func(config *proxy.Config) { config.Observer = observer }), "/plain/a", "")
+		Expect(observer.causes).To(ContainElement(ContainSubstring("421")))
+	})
+
 	// Guards against a late copy of a refusal that is believed because the engine that sent
 	// it has registered again under another ID: connections are shared by address.
 	It("are counted by address when a call is sent again", func() {
--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -20,7 +21,7 @@
 	r.record.Attempts++
 	r.observeRateLimit(&reservation.Upstream, response)
 	if response.NotRun {
-		r.record.Cause = errNotRun
+		r.record.Cause = fmt.Errorf("%w: status %d", errNotRun, response.Status)
 		return selector.Refused, r.afterNotRun()
 	}
 	r.mayHaveRun = true
