--- a/protocol/proxy/response.go
+++ b/protocol/proxy/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -21,7 +22,7 @@
 	r.observeRateLimit(&reservation.Upstream, response)
 	r.observeAvailability(reservation, response.Availability)
 	if response.NotRun {
-		r.record.Cause = errNotRun
+		r.record.Cause = fmt.Errorf("%w: status %d", errNotRun, response.Status)
 		return selector.Refused, r.afterNotRun()
 	}
 	r.mayHaveRun = true
