Bound what callers take in the own surroundings by the same means

Cause: the gateway read each body up to its limit with no bound for all together, and nothing bounded its connections; bodies that were not needed were waited for.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/crocushollow/crocushollow/coordination/publisher"
 	"github.com/crocushollow/crocushollow/protocol/admitter"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/dispatcher"
 	"github.com/crocushollow/crocushollow/protocol/executor"
 	"github.com/crocushollow/crocushollow/state/applier"
@@ -59,7 +60,9 @@
 	controller      *controller.Controller
 	dispatcher      *dispatcher.Dispatcher
 	gateway         *gateway.Gateway
-	console         *console.Console
+	// callerConnections bounds the connections of callers.
+	callerConnections *acceptor.Keeper
+	console           *console.Console
 }
 
 // New returns an instance that is not running.
@@ -173,16 +176,7 @@
 		MaxBufferedBytes: s.Calls.MaxBufferedBytes,
 		MaxStoredBytes:   s.Calls.MaxStoredBytes,
 	})
-	d.gateway = gateway.New(gateway.Config{
-		View:           d.controller.View,
-		Executor:       exec,
-		ActiveRequests: d.activeRequests,
-		Recorder:       d.recorder,
-		Logger:         d.logger.Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}),
-		MaxBodyBytes:   s.Calls.MaxBodyBytes,
-		BodyTimeout:    time.Duration(s.Calls.BodyTimeout),
-		Discovery:      gateway.DiscoveryConfig{TTL: time.Duration(s.Discovery.TTL), SubsetSize: s.Discovery.Subset},
-	})
+	d.assembleGateway(exec)
 	d.console = console.New(console.Config{
 		Controller:   d.controller,
 		Prober:       d.peers,
@@ -196,6 +190,27 @@
 	})
 }
 
+// assembleGateway builds the part that serves callers.
+func (d *Daemon) assembleGateway(exec *executor.Executor) {
+	s := d.settings
+	d.callerConnections = acceptor.NewKeeper(acceptor.KeeperConfig{
+		MaxConnections: s.Calls.MaxConnections,
+		OnClose:        func(cause acceptor.Cause) { d.recorder.ConnectionClosed(string(cause)) },
+	})
+	d.gateway = gateway.New(gateway.Config{
+		Bodies:         bounder.NewIntake(s.Calls.MaxIntakeBytes),
+		Connections:    d.callerConnections,
+		View:           d.controller.View,
+		Executor:       exec,
+		ActiveRequests: d.activeRequests,
+		Recorder:       d.recorder,
+		Logger:         d.logger.Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}),
+		MaxBodyBytes:   s.Calls.MaxBodyBytes,
+		BodyTimeout:    time.Duration(s.Calls.BodyTimeout),
+		Discovery:      gateway.DiscoveryConfig{TTL: time.Duration(s.Discovery.TTL), SubsetSize: s.Discovery.Subset},
+	})
+}
+
 // registerGauges registers the metrics whose values are read when they are scraped.
 func (d *Daemon) registerGauges() {
 	d.recorder.RegisterGauge("crocushollow_log_offset", func() float64 { return float64(d.controller.View().State.NextOffset()) })
@@ -310,6 +325,7 @@
 		return err
 	}
 	callers := newServer(d.gateway)
+	d.callerConnections.Observe(callers)
 	operators := newServer(d.console)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return serve(callers, listeners.Callers) })
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -134,6 +134,10 @@
 	// MaxStoredBytes is the maximum size of a response that is stored for replay to
 	// callers that retry.
 	MaxStoredBytes int `toml:"max_kept_bytes"`
+	// MaxIntakeBytes is the maximum size of all request bodies together.
+	MaxIntakeBytes int64 `toml:"max_intake_bytes"`
+	// MaxConnections is the maximum number of open connections of callers.
+	MaxConnections int `toml:"max_connections"`
 	// BodyTimeout bounds the time to read a request body.
 	BodyTimeout Duration `toml:"body_timeout"`
 	// FirstByteTimeout is the maximum time until an engine's first byte, and
@@ -203,6 +207,8 @@
 			MaxResponseBytes: 16 << 20,
 			MaxBufferedBytes: 64 << 20,
 			MaxStoredBytes:   16 << 10,
+			MaxIntakeBytes:   64 << 20,
+			MaxConnections:   4096,
 			BodyTimeout:      Duration(10 * time.Second),
 			FirstByteTimeout: Duration(20 * time.Second),
 			ChunkTimeout:     Duration(3 * time.Second),
@@ -335,6 +341,8 @@
 		checkPositive("calls.max_body_bytes", s.Calls.MaxBodyBytes),
 		checkPositive("calls.max_answer_bytes", s.Calls.MaxResponseBytes),
 		checkPositive("calls.max_buffered_bytes", s.Calls.MaxBufferedBytes),
+		checkPositive("calls.max_intake_bytes", s.Calls.MaxIntakeBytes),
+		checkPositive("calls.max_connections", int64(s.Calls.MaxConnections)),
 		checkPositive("calls.queue_length", int64(s.Calls.QueueLength)),
 		checkPositive("calls.max_attempts", int64(s.Calls.MaxAttempts)),
 		checkPositive("shutdown.grace", int64(s.Shutdown.Grace)),
--- a/transport/acceptor/keeper.go
+++ b/transport/acceptor/keeper.go
@@ -185,10 +185,15 @@
 func IgnoreBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		if request.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-			// Without the deadline the server would wait for the body.
-			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			CloseUnread(w)
 		}
 		next.ServeHTTP(w, request)
 	})
 }
+
+// CloseUnread makes a server close the connection after the response, although the body of the
+// request has not been read. Without the deadline the server would wait for the body.
+func CloseUnread(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
--- a/transport/gateway/gateway.go
+++ b/transport/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"path"
 	"strings"
@@ -22,9 +21,11 @@
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/coordination/controller"
 	"github.com/crocushollow/crocushollow/protocol/authenticator"
+	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/protocol/decoder"
 	"github.com/crocushollow/crocushollow/protocol/executor"
 	"github.com/crocushollow/crocushollow/protocol/rejecter"
+	"github.com/crocushollow/crocushollow/transport/acceptor"
 )
 
 var tracer = otel.Tracer("github.com/crocushollow/crocushollow/transport/gateway")
@@ -45,6 +46,10 @@
 	MaxBodyBytes int64
 	// BodyTimeout limits the time to read a request body.
 	BodyTimeout time.Duration
+	// Bodies is the memory of all request bodies.
+	Bodies *bounder.Intake
+	// Connections bounds the connections of callers.
+	Connections *acceptor.Keeper
 	Discovery   DiscoveryConfig
 }
 
@@ -62,6 +67,12 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body := &observedBody{ReadCloser: r.Body, ctx: r.Context(), connections: g.config.Connections}
+	r.Body = body
+	switch r.URL.Path {
+	case "/healthz", "/readyz", discoveryPath:
+		g.closeUnread(w, r, body)
+	}
 	switch r.URL.Path {
 	case "/healthz":
 		w.WriteHeader(http.StatusOK)
@@ -79,7 +90,7 @@
 	}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	g.serveRequest(w, r)
+	g.serveRequest(w, r, body)
 }
 
 func (g *Gateway) serveReadiness(w http.ResponseWriter) {
@@ -91,7 +102,7 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request, body *observedBody) {
 	started := time.Now()
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
@@ -100,6 +111,7 @@
 	result := "ok"
 	if err != nil {
 		rejection := toRejection(err)
+		g.closeUnread(w, r, body)
 		rejection.Write(w)
 		result = string(rejection.Code)
 		span.SetStatus(codes.Error, result)
@@ -173,11 +185,12 @@
 	if r.Method != http.MethodPost {
 		return rejecter.New(http.StatusMethodNotAllowed, rejecter.MethodNotAllowed, "the method must be POST")
 	}
-	body, err := g.readBody(w, r)
+	body, err := g.readBody(w, r, identity)
 	if err != nil {
 		return err
 	}
-	call, err := decoder.Decode(endpoint, body)
+	defer body.Close()
+	call, err := decoder.Decode(endpoint, body.Bytes())
 	if err != nil {
 		return err
 	}
@@ -186,27 +199,12 @@
 	return g.config.Executor.RunModel(ctx, w, identity, call)
 }
 
-// readBody reads the request body within the limits on size and time.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(g.config.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.config.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, rejecter.New(http.StatusRequestEntityTooLarge, rejecter.BodyTooLarge, "the request body is too large")
-	case err != nil:
-		return nil, rejecter.New(http.StatusRequestTimeout, rejecter.RequestIncomplete, "the request body was not received within the time limit")
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
 func (g *Gateway) serveRoute(ctx context.Context, w http.ResponseWriter, r *http.Request, identity authenticator.Identity, route crocushollow.Route) error {
-	body, err := g.readBody(w, r)
+	body, err := g.readBody(w, r, identity)
 	if err != nil {
 		return err
 	}
+	defer body.Close()
 	ctx, end := g.config.ActiveRequests.Track(ctx, identity)
 	defer end()
 	return g.config.Executor.RunService(ctx, w, identity, executor.ServiceCall{
@@ -214,7 +212,7 @@
 		Method:         r.Method,
 		Target:         r.URL.RequestURI(),
 		Header:         forwardedHeaders(r.Header),
-		Body:           body,
+		Body:           body.Bytes(),
 		IdempotencyKey: r.Header.Get(idempotencyHeader),
 	})
 }
--- a/transport/recorder/recorder.go
+++ b/transport/recorder/recorder.go
@@ -77,6 +77,11 @@
 	r.counter(fmt.Sprintf(`crocushollow_attempts_total{upstream=%q,failed="%t"}`, upstream, failed), row).Inc()
 }
 
+// ConnectionClosed counts a connection of a caller that was closed above the maximum.
+func (r *Recorder) ConnectionClosed(cause string) {
+	r.set.GetOrCreateCounter(`crocushollow_connections_closed_total{cause="` + cause + `"}`).Inc()
+}
+
 // StreamResumed implements executor.Recorder.
 func (r *Recorder) StreamResumed(workspace string) {
 	r.counter(fmt.Sprintf(`crocushollow_streams_resumed_total{workspace=%q}`, workspace), workspaceRow(workspace)).Inc()
