Keep prompts away from slow engines and from long streams

The choice of an engine knew neither which engines are slow nor where long streams run.

Change: state/pacer learns the slowdown of each engine from the gaps of its streams; loads carry it and the number of long streams to all instances; both count in the cost of an engine where a streaming route has an objective for the longest gap. No bound has changed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -39,7 +39,9 @@
 	hosts    map[string]hostRoutes
 	services map[string]*Service
 	// resumable holds the names of the services whose streams callers may take up.
-	resumable  map[string]bool
+	resumable map[string]bool
+	// eventGaps holds the shortest EventGapObjective of the routes to each service.
+	eventGaps  map[string]time.Duration
 	workspaces map[string]*Workspace
 	keys       map[crocushollow.Digest]*Workspace
 }
@@ -56,6 +58,7 @@
 		hosts:      make(map[string]hostRoutes),
 		services:   make(map[string]*Service, len(config.Services)),
 		resumable:  make(map[string]bool),
+		eventGaps:  make(map[string]time.Duration),
 		workspaces: make(map[string]*Workspace, len(config.Workspaces)),
 		keys:       make(map[crocushollow.Digest]*Workspace, len(config.Keys)),
 	}
@@ -93,6 +96,7 @@
 		c.hosts[host] = make(hostRoutes)
 	}
 	c.hosts[host][route.PathPrefix] = route
+	c.addEventGap(route)
 	if route.IsResumable() {
 		for _, share := range route.WeightedServices {
 			c.resumable[share.Service] = true
@@ -101,6 +105,22 @@
 	return nil
 }
 
+// addEventGap records the EventGapObjective of a route for its services.
+func (c *Catalog) addEventGap(route *Route) {
+	if route.Kind != Streaming || route.EventGapObjective <= 0 {
+		return
+	}
+	for _, share := range route.WeightedServices {
+		if gap, found := c.eventGaps[share.Service]; !found || route.EventGapObjective < gap {
+			c.eventGaps[share.Service] = route.EventGapObjective
+		}
+	}
+}
+
+// EventGapObjective returns the shortest target for the longest time between two events of
+// a service's streams, or 0 if there is none.
+func (c *Catalog) EventGapObjective(service string) time.Duration { return c.eventGaps[service] }
+
 // Version returns the version number of the table.
 func (c *Catalog) Version() int64 { return c.version }
 
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -150,7 +150,8 @@
 
 // writeEvents sends complete events to the caller.
 func (r *run) writeEvents(reservation *selector.Reservation, response *Response, events []byte) error {
-	isFirst := r.stream.events == 0
+	eventsBefore := r.stream.events
+	isFirst := eventsBefore == 0
 	accepted, advanceErr := r.stream.advance(events)
 	if len(accepted) == 0 {
 		return advanceErr
@@ -158,6 +159,7 @@
 	if isFirst {
 		reservation.MarkFirstByte()
 	}
+	reservation.ObserveEvents(r.stream.events-eventsBefore, r.proxy.config.Now())
 	if !r.headerSent {
 		r.writeHeader(response)
 	}
--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -22,18 +22,25 @@
 	// LimitedSends counts the requests that were sent within the window of the quota of
 	// an upstream with a rate limit.
 	LimitedSends int `cbor:"4,keyasint,omitempty"`
+	// Slowdown is how many times longer the upstream takes than usual, in percent. It is 0
+	// at its usual pace.
+	Slowdown int `cbor:"5,keyasint,omitempty"`
+	// LongStreams counts the requests in flight whose output is long.
+	LongStreams int `cbor:"6,keyasint,omitempty"`
 }
 
-// Plus returns the sum of two loads.
+// Plus returns the sum of two loads, with the larger slowdown.
 func (l Load) Plus(other Load) Load {
 	l.add(other, 1)
+	l.Slowdown = max(l.Slowdown, other.Slowdown)
 	return l
 }
 
-// add adds other multiplied by times, which may be negative.
+// add adds other multiplied by times, which may be negative. It leaves the slowdown as it is.
 func (l *Load) add(other Load, times int) {
 	l.InFlight += times * other.InFlight
 	l.LimitedSends += times * other.LimitedSends
+	l.LongStreams += times * other.LongStreams
 	l.WaitingTokens = max(l.WaitingTokens+float64(times)*other.WaitingTokens, 0)
 	l.CacheTokens = max(l.CacheTokens+float64(times)*other.CacheTokens, 0)
 }
@@ -56,6 +63,8 @@
 	}
 	s.addPeerLoads(previous, -1)
 	s.addPeerLoads(loads, 1)
+	s.recomputePeerPaces(previous)
+	s.recomputePeerPaces(loads)
 }
 
 // addPeerLoads adds the loads of a peer, multiplied by times, to the totals. The
@@ -85,6 +94,7 @@
 		peer.loads[id] = load
 	}
 	s.peers[instance] = peer
+	s.recomputePeerPaces(changes)
 }
 
 // LoadChanges returns this instance's load on the upstreams where it has changed
@@ -126,10 +136,12 @@
 	s.recomputedAt = now
 	for _, c := range s.candidates {
 		c.peerLoad = Load{}
+		c.pace.peers = 0
 	}
 	for _, peer := range s.peers {
 		if now.IsZero() || now.Sub(peer.reportedAt) <= maxPeerLoadAge {
 			s.addPeerLoads(peer.loads, 1)
+			s.addPeerPaces(peer.loads)
 		}
 	}
 }
--- a/state/selector/reservation.go
+++ b/state/selector/reservation.go
@@ -16,11 +16,17 @@
 		waitingTokens: c.uncachedTokens(request),
 		cacheTokens:   request.PromptTokens + request.OutputTokens,
 		isTrial:       c.health.beginTrial(),
+		model:         request.Model,
 	}
 	r.attempt.firstBytes = c.health.firstBytes
 	c.ownLoad.InFlight++
 	c.ownLoad.WaitingTokens += r.waitingTokens
+	c.arrivedTokens += r.waitingTokens
 	c.ownLoad.CacheTokens += r.cacheTokens
+	if s.isLongStream(request) {
+		r.longStreams = 1
+	}
+	c.ownLoad.LongStreams += r.longStreams
 	c.cachedPrefixes.add(request.Prefixes)
 	s.markChanged(c)
 	if service := s.service(request.Service); service != nil && service.ColdRateLimit > 0 {
@@ -45,6 +51,10 @@
 	// isTrial means that the request is a trial that has not ended.
 	isTrial  bool
 	released bool
+	model    string
+	// longStreams is 1 if the output is long, or else 0.
+	longStreams int
+	progress    progress
 }
 
 // MarkFirstByte records that the first byte of the response has arrived. The
@@ -80,9 +90,11 @@
 	r.released = true
 	c := r.candidate
 	c.ownLoad.InFlight--
+	c.ownLoad.LongStreams -= r.longStreams
 	c.ownLoad.WaitingTokens = max(c.ownLoad.WaitingTokens-r.waitingTokens, 0)
 	c.ownLoad.CacheTokens = max(c.ownLoad.CacheTokens-r.cacheTokens, 0)
 	r.endTrial(outcome == Served)
+	r.selector.sharePace(c, now)
 	if r.selector.recordOutcome(c, &r.attempt, outcome, now) {
 		r.selector.config.OnHealthChange(HealthChange{
 			Upstream: r.Upstream.ID, IsEjected: true, Failures: c.health.failureCount, Backoff: c.health.ejectedUntil.Sub(now),
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/state/pacer"
 	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
@@ -161,6 +162,8 @@
 	changedLoads map[string]bool
 	// compared holds the candidates whose health has a comparison.
 	compared map[*candidate]bool
+	// baselines holds the usual gaps between the events of streams.
+	baselines map[baselineKey]pacer.Baseline
 }
 
 // candidate is an upstream with its load and its health.
@@ -182,6 +185,9 @@
 	// a rate limit. It is above 0 and at most 1.
 	acceptance     float64
 	cachedPrefixes prefixCache
+	pace           pace
+	// arrivedTokens counts the uncached prompt tokens of all requests of this instance.
+	arrivedTokens float64
 }
 
 // isSucceededBy reports whether a registration is that of another process than the
@@ -199,6 +205,7 @@
 		peers:        make(map[string]peer),
 		changedLoads: make(map[string]bool),
 		compared:     make(map[*candidate]bool),
+		baselines:    make(map[baselineKey]pacer.Baseline),
 	}
 }
 
@@ -340,7 +347,7 @@
 	if float64(inFlight) >= maxSlotFraction*float64(c.upstream.Slots) {
 		return false
 	}
-	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
+	waiting := c.waitingTokens()
 	if waiting > 0 && waiting+c.uncachedTokens(request) > maxWaitingTokens {
 		return false
 	}
@@ -368,9 +375,11 @@
 	if request.Model == "" {
 		return cost + inFlight*plainRequestCostMillis/float64(max(c.upstream.Slots, 1)) + tieBreakMillis(c.hash, 0)
 	}
-	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	cost += (waiting + c.uncachedTokens(request)) / prefillTokensPerMilli
-	cost += inFlight * runningRequestCostMillis
+	work := (c.waitingTokens() + c.uncachedTokens(request)) / prefillTokensPerMilli
+	work += inFlight * runningRequestCostMillis
+	factor := c.pace.factor(now)
+	cost += work*factor + (factor-1)*slowCostMillis
+	cost += c.pauseCostMillis(request)
 	return cost + tieBreakMillis(c.hash, affinityHash(request))
 }
 
