Count slow engines, and say what a long stream is charged

The spec and the design note were wrong, not the figures: 8 ms less for each long stream outweighs a stream's own prompt only below some 370 tokens, so long streams avoid each other less than other prompts do, but are not gathered.

--- a/daemon/hosted/wiring.go
+++ b/daemon/hosted/wiring.go
@@ -172,6 +172,7 @@
 		"crocushollow_store_era":         func() float64 { return float64(store.Era()) },
 		"crocushollow_limited_upstreams": func() float64 { return float64(i.throttler.ActiveLimits()) },
 		"crocushollow_ejected_upstreams": func() float64 { return float64(i.selector.EjectedUpstreams()) },
+		"crocushollow_slow_upstreams":    func() float64 { return float64(i.selector.SlowUpstreams(time.Now())) },
 		"crocushollow_planning_fence":    func() float64 { return float64(i.elector.LeaderToken()) },
 	}
 	for name, read := range gauges {
--- a/state/selector/pace.go
+++ b/state/selector/pace.go
@@ -25,8 +25,8 @@
 	// pauseCostFraction is the cost of the reading of a prompt for each long stream that it
 	// delays, as a fraction of the time that it takes.
 	pauseCostFraction = 0.5
-	// streamAttractionMillis is the benefit of an engine for a long stream for each one that
-	// runs there, up to maxAttractingStreams. Where they run together, fewer prompts delay them.
+	// streamAttractionMillis is what a long stream is charged less than another request for
+	// each long stream at an engine, up to maxAttractingStreams of them.
 	streamAttractionMillis = 8.0
 	maxAttractingStreams   = 10.0
 )
@@ -138,6 +138,20 @@
 	}
 }
 
+// SlowUpstreams returns the number of upstreams that this instance takes for slow now, from its
+// own streams or from its peers' reports.
+func (s *Selector) SlowUpstreams(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, c := range s.candidates {
+		if c.pace.factor(now) > 1 {
+			count++
+		}
+	}
+	return count
+}
+
 // eventGapObjective returns the shortest objective for the longest gap between two events of
 // a service's streams, or 0 if there is none.
 func (s *Selector) eventGapObjective(service string) time.Duration {
@@ -154,7 +168,8 @@
 }
 
 // pauseCostMillis estimates the pauses that the prompt of a request adds to the long streams
-// at the upstream. A long stream has a benefit from those that run there already.
+// at the upstream. A long stream is charged less, so that
+// fewer engines have long streams.
 func (c *candidate) pauseCostMillis(request *Request) float64 {
 	streams := float64(c.ownLoad.LongStreams + c.peerLoad.LongStreams)
 	cost := streams * pauseCostFraction * c.uncachedTokens(request) / prefillTokensPerMilli
