--- a/state/selector/plain.go
+++ b/state/selector/plain.go
@@ -84,7 +84,7 @@
 	slots, millis := c.plainSlots(), s.serviceMillis(c, now)
 	queued := float64(inFlight+1) - slots
 	affordable := slots * (objectiveFraction*float64(request.Objective)/float64(time.Millisecond)/millis - 1)
-	if queued > min(affordable, c.pace.queueBound(slots, now)) {
+	if queued > min(affordable, c.plainPace.queueBound(slots, now)) {
 		return Full
 	}
 	return Chosen
@@ -103,7 +103,7 @@
 	if known := s.serviceTimes[c.upstream.Service]; !known.updatedAt.IsZero() {
 		millis = known.millis
 	}
-	if own := c.pace.serviceTime; !own.updatedAt.IsZero() {
+	if own := c.plainPace.serviceTime; !own.updatedAt.IsZero() {
 		weight := math.Exp2(-now.Sub(own.updatedAt).Seconds() / serviceTimeHalfLife.Seconds())
 		millis += weight * (own.millis - millis)
 	}
@@ -118,12 +118,12 @@
 	case Served:
 		took := float64(now.Sub(r.attempt.sentAt)) / float64(time.Millisecond)
 		millis := took * slots / max(float64(r.inFlight), slots)
-		c.pace.serviceTime = c.pace.serviceTime.With(millis, upstreamTimeWeight, now)
+		c.plainPace.serviceTime = c.plainPace.serviceTime.With(millis, upstreamTimeWeight, now)
 		s.serviceTimes[c.upstream.Service] = s.serviceTimes[c.upstream.Service].With(millis, serviceTimeWeight, now)
 	case Refused:
 		depth := max(float64(r.inFlight)-slots, 0)
-		c.pace.refusedDepth = refusedDepthFactor * min(depth, c.pace.queueBound(slots, now))
-		c.pace.refusedAt = now
+		c.plainPace.refusedDepth = refusedDepthFactor * min(depth, c.plainPace.queueBound(slots, now))
+		c.plainPace.refusedAt = now
 	case Abandoned, Failed, Unreachable, Broken, TimedOut:
 	}
 }
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/state/pacer"
 	"github.com/crocushollow/crocushollow/state/throttler"
 )
 
@@ -177,6 +178,8 @@
 	compared map[*candidate]bool
 	// serviceTimes holds the averages of all upstreams of each plain service.
 	serviceTimes map[string]serviceTime
+	// baselines holds the usual gaps between the events of streams.
+	baselines map[baselineKey]pacer.Baseline
 }
 
 // candidate is an upstream with its load and its health.
@@ -200,8 +203,11 @@
 	// a rate limit. It is above 0 and at most 1.
 	acceptance     float64
 	cachedPrefixes prefixCache
-	// pace is known of upstreams of plain services only.
-	pace plainPace
+	// plainPace is known of upstreams of plain services only, and pace of engines only.
+	plainPace plainPace
+	pace      pace
+	// arrivedTokens counts the uncached prompt tokens of all requests of this instance.
+	arrivedTokens float64
 }
 
 // isSucceededBy reports whether a registration is that of another process than the
@@ -220,6 +226,7 @@
 		changedLoads: make(map[string]bool),
 		compared:     make(map[*candidate]bool),
 		serviceTimes: make(map[string]serviceTime),
+		baselines:    make(map[baselineKey]pacer.Baseline),
 	}
 }
 
@@ -371,7 +378,7 @@
 	if float64(inFlight) >= maxSlotFraction*float64(c.upstream.Slots) {
 		return false
 	}
-	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
+	waiting := c.waitingTokens()
 	if waiting > 0 && waiting+c.uncachedTokens(request) > maxWaitingTokens {
 		return false
 	}
@@ -398,10 +405,11 @@
 	if request.Model == "" {
 		return cost + s.plainCostMillis(c, request, now)
 	}
-	inFlight := float64(c.ownLoad.InFlight + c.peerLoad.InFlight)
-	waiting := c.ownLoad.WaitingTokens + c.peerLoad.WaitingTokens
-	cost += (waiting + c.uncachedTokens(request)) / prefillTokensPerMilli
-	cost += inFlight * runningRequestCostMillis
+	work := (c.waitingTokens() + c.uncachedTokens(request)) / prefillTokensPerMilli
+	work += float64(c.inFlight()) * runningRequestCostMillis
+	factor := c.pace.factor(now)
+	cost += work*factor + (factor-1)*slowCostMillis
+	cost += c.pauseCostMillis(request)
 	return cost + tieBreakMillis(c.hash, affinityHash(request))
 }
 
--- a/transport/acceptor/keeper_test.go
+++ b/transport/acceptor/keeper_test.go
@@ -125,7 +125,7 @@
 	It("forgets connections that were closed", func() {
 		s := startKeptServer(4)
 		for range 20 {
-			Expect(s.open(strings.Repeat("\r\n", 3) + fmt.Sprint("GET")).Close()).To(Succeed())
+			Expect(s.open(strings.Repeat("\r\n", 3) + "GET").Close()).To(Succeed())
 		}
 		Eventually(s.keeper.Len).Should(BeZero())
 	})
