--- a/transport/acceptor/keeper_test.go
+++ b/transport/acceptor/keeper_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
