--- a/state/selector/pace.go
+++ b/state/selector/pace.go
@@ -168,8 +168,8 @@
 }
 
 // pauseCostMillis estimates the pauses that the prompt of a request adds to the long streams
-// at the upstream. A long stream is charged less, so that
-// fewer engines have long streams.
+// at the upstream. A long stream is charged less, so that fewer engines have long
+// streams.
 func (c *candidate) pauseCostMillis(request *Request) float64 {
 	streams := float64(c.ownLoad.LongStreams + c.peerLoad.LongStreams)
 	cost := streams * pauseCostFraction * c.uncachedTokens(request) / prefillTokensPerMilli
