Forget the pace that a silent peer has reported

Cause: the largest slowdown of an upstream was taken over all known peers, also those whose loads count no more as they have been silent for 2 s; any later report brought it back. Change: peers beyond maxPeerLoadAge are left out, as for the sums of loads. Run: go test -race ./state/selector ./state/pacer, ok.

--- a/state/selector/pace.go
+++ b/state/selector/pace.go
@@ -115,8 +115,9 @@
 }
 
 // recomputePeerPaces recomputes the largest slowdowns that peers report of the upstreams with
-// a load. The caller must lock mu.
-func (s *Selector) recomputePeerPaces(loads map[string]Load) {
+// a load. It ignores peers that have not reported within maxPeerLoadAge. The caller must lock
+// mu.
+func (s *Selector) recomputePeerPaces(loads map[string]Load, now time.Time) {
 	for id := range loads {
 		c := s.candidates[id]
 		if c == nil {
@@ -124,6 +125,9 @@
 		}
 		c.pace.peers = 0
 		for _, peer := range s.peers {
+			if now.Sub(peer.reportedAt) > maxPeerLoadAge {
+				continue
+			}
 			c.pace.peers = max(c.pace.peers, peer.loads[id].Slowdown)
 		}
 	}
--- a/state/selector/pace_test.go
+++ b/state/selector/pace_test.go
@@ -95,6 +95,20 @@
 		Expect(reservation.Upstream.ID).To(Equal("e1"))
 	})
 
+	// Guards against the old pace of a peer that is suspended or cut off.
+	It("forgets what a peer that is silent for 2 s has reported", func() {
+		report := map[string]selector.Load{"e1": {InFlight: 1, Slowdown: 250}}
+		s.SetPeerLoads("node-2", report, start)
+		Expect(s.SlowUpstreams(start)).To(Equal(1))
+		later := start.Add(3 * time.Second)
+		s.UpdatePeerLoads("node-3", map[string]selector.Load{"e1": {InFlight: 1}}, later)
+		Expect(s.SlowUpstreams(later)).To(Equal(0))
+		s.UpdatePeerLoads("node-2", report, later)
+		Expect(s.SlowUpstreams(later)).To(Equal(1))
+		s.RemovePeer("node-2")
+		Expect(s.SlowUpstreams(later)).To(Equal(0))
+	})
+
 	// Guards against pauses of streams with many events, which lose their worth by one.
 	It("keeps prompts that arrive in a clump from the engine with long streams", func() {
 		for range 3 {
--- a/state/selector/peers.go
+++ b/state/selector/peers.go
@@ -63,8 +63,8 @@
 	}
 	s.addPeerLoads(previous, -1)
 	s.addPeerLoads(loads, 1)
-	s.recomputePeerPaces(previous)
-	s.recomputePeerPaces(loads)
+	s.recomputePeerPaces(previous, now)
+	s.recomputePeerPaces(loads, now)
 }
 
 // addPeerLoads adds the loads of a peer, multiplied by times, to the totals. The
@@ -94,7 +94,7 @@
 		peer.loads[id] = load
 	}
 	s.peers[instance] = peer
-	s.recomputePeerPaces(changes)
+	s.recomputePeerPaces(changes, now)
 }
 
 // LoadChanges returns this instance's load on the upstreams where it has changed
