Order numbers of engines by zone where the platform names the duty

The planner leader decides from the demand in busy engines: up when it is too high, down one engine at a time after three minutes, never below what the models need. Orders without a response are followed by the newest one again. A scale whose minimum is above its maximum refuses the table.

A holder now learns for two starts of an engine how many there are; a spec guards it.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -18,6 +18,16 @@
 	// Engine describes the upstreams of a service that runs models. It is nil
 	// for other services.
 	Engine *EngineSpec
+	// Scale bounds the number of upstreams. It is nil if the number is fixed.
+	Scale *ScaleSpec
+}
+
+// ScaleSpec bounds the number of upstreams of a service that an availability zone has.
+type ScaleSpec struct {
+	// Min is at least 0, and Max at least Min.
+	Min, Max int
+	// StartTime is the time from an order until a new upstream serves.
+	StartTime time.Duration
 }
 
 // EngineSpec describes the model engines of a service, which are all alike.
--- a/daemon/hosted/duties.go
+++ b/daemon/hosted/duties.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -9,6 +10,7 @@
 	"github.com/crocushollow/crocushollow/coordination/dutyholder"
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/platform"
+	"github.com/crocushollow/crocushollow/state/scaler"
 	"github.com/crocushollow/crocushollow/state/tallier"
 )
 
@@ -19,6 +21,8 @@
 	// maxUsagePerHeartbeat bounds the reports in one heartbeat, which must fit into a
 	// datagram.
 	maxUsagePerHeartbeat = 4
+	// dutyKinds is the number of duties that share the calls to the platform.
+	dutyKinds = 2
 	// lastUsageInterval is that time while the instance shuts down. It is shorter than
 	// lingerTime, so that the last requests are reported.
 	lastUsageInterval = 50 * time.Millisecond
@@ -41,6 +45,17 @@
 	if duties.ReportsUsage && settings.Address != "" && settings.UsageWindow != nil {
 		i.assembleUsage(store)
 	}
+	if duties.ScalesEngines && settings.Address != "" {
+		i.scale = dutyholder.NewScaleHolder(dutyholder.ScaleConfig{
+			Leadership:     i.elector,
+			Client:         platform.NewCloud(settings.Address, i.self.Instance),
+			Services:       i.scaledServices,
+			CallsPerSecond: settings.CallsPerSecond / dutyKinds,
+			OnCall:         i.reporter.dutyCalled,
+			Logger:         i.logger,
+			Now:            time.Now,
+		})
+	}
 }
 
 // assembleUsage builds the parts that report usage.
@@ -56,7 +71,7 @@
 		Client:         platform.NewCloud(settings.Address, i.self.Instance),
 		Tallier:        tally,
 		Lateness:       settings.lateness(),
-		CallsPerSecond: settings.CallsPerSecond,
+		CallsPerSecond: settings.CallsPerSecond / dutyKinds,
 		OnSettled:      i.broadcastSettled,
 		OnCall:         i.reporter.dutyCalled,
 		Logger:         i.logger,
@@ -66,15 +81,54 @@
 
 // runDuties carries out the duties until the context ends.
 func (i *Instance) runDuties(ctx context.Context) error {
-	if i.usage == nil {
-		return nil
-	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return i.usage.holder.Run(ctx) })
-	group.Go(func() error { return i.sendUsage(ctx) })
+	if i.usage != nil {
+		group.Go(func() error { return i.usage.holder.Run(ctx) })
+		group.Go(func() error { return i.sendUsage(ctx) })
+	}
+	if i.scale != nil {
+		group.Go(func() error { return i.scale.Run(ctx) })
+	}
 	return group.Wait()
 }
 
+// scaledServices returns the state of the services of engines whose number may change.
+func (i *Instance) scaledServices() map[string]scaler.Input {
+	site := i.site.registeredSite()
+	inputs := make(map[string]scaler.Input)
+	if site.Catalog == nil {
+		return inputs
+	}
+	demand := i.demand.total()
+	for name, service := range site.Catalog.Services() {
+		if service.Scale == nil || service.Engine == nil {
+			continue
+		}
+		input := scaler.Input{Scale: *service.Scale, Zones: make(map[string]scaler.Zone), Floor: scaler.Floor(service.Engine)}
+		missing := maps.Clone(service.Engine.Models)
+		for _, upstream := range site.Upstreams {
+			if upstream.Service != name {
+				continue
+			}
+			zone := input.Zones[upstream.AvailabilityZone]
+			zone.IsOut = site.ZonesOutOfService[upstream.AvailabilityZone]
+			if !upstream.IsDraining {
+				zone.Engines++
+			}
+			input.Zones[upstream.AvailabilityZone] = zone
+			for m := range upstream.LoadedModels {
+				delete(missing, upstream.LoadedModels[m].Model)
+			}
+		}
+		for model := range service.Engine.Models {
+			input.Demand += demand[model]
+		}
+		input.IsComplete = len(missing) == 0
+		inputs[name] = input
+	}
+	return inputs
+}
+
 // sendUsage reports this instance's usage to the planner leader until the context ends.
 func (i *Instance) sendUsage(ctx context.Context) error {
 	timer := time.NewTimer(usageInterval)
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -16,6 +16,7 @@
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/catalog"
+	"github.com/crocushollow/crocushollow/coordination/dutyholder"
 	"github.com/crocushollow/crocushollow/coordination/elector"
 	"github.com/crocushollow/crocushollow/coordination/gossiper"
 	"github.com/crocushollow/crocushollow/coordination/observer"
@@ -149,7 +150,9 @@
 	campaign    *elector.CampaignPolicy
 	planner     *planner.Planner
 	// usage is nil unless the operators want usage reports.
-	usage  *usageDuty
+	usage *usageDuty
+	// scale is nil unless the operators want this fleet to order engines.
+	scale  *dutyholder.ScaleHolder
 	proxy  *proxy.Proxy
 	egress *platform.Egress
 	// engines checks engines for calls, and orders is the planner's client.
