Tell calls refused by a limit to come back one after the other

Cause: all calls refused at an instance were told when the tokens of one return, so that they came back together. Change: each delay follows the tokens promised to the calls that were told before it, up to 4 s, the rest spread.

--- a/state/allotter/allotter.go
+++ b/state/allotter/allotter.go
@@ -136,7 +136,7 @@
 		b.consume(cost)
 		return true, 0
 	}
-	return false, retryDelay(cost-a.credit(b), b.refillRate*a.share(b))
+	return false, a.retryDelay(b, cost, now)
 }
 
 // hasHeadroom reports whether this instance may consume the cost regardless of
@@ -268,8 +268,27 @@
 	maxRetryDelay = 4 * time.Second
 )
 
-func retryDelay(missing, rate float64) time.Duration {
-	return min(max(time.Duration(min(missing/rate, maxRetryDelay.Seconds())*float64(time.Second)), minRetryDelay), maxRetryDelay)
+// retryDelay returns when a refused request may come back: when the tokens that it misses have
+// returned to this instance, after those that the requests refused before it were told of.
+// Requests that would have to wait for longer than maxRetryDelay are spread over the last
+// half of it.
+func (a *Allotter) retryDelay(b *bucket, cost float64, now time.Time) time.Duration {
+	rate := b.refillRate * a.share(b)
+	if b.toldUntil.Before(now) {
+		b.toldUntil = now.Add(secondsDuration(max(-a.credit(b), 0)/rate, maxRetryDelay))
+	}
+	b.toldUntil = b.toldUntil.Add(secondsDuration(cost/rate, maxRetryDelay))
+	delay := b.toldUntil.Sub(now)
+	if delay > maxRetryDelay {
+		b.toldUntil = now.Add(maxRetryDelay)
+		delay = time.Duration((1 + a.config.RandFloat64()) / 2 * float64(maxRetryDelay))
+	}
+	return max(delay, minRetryDelay)
+}
+
+// secondsDuration converts seconds to a duration of at most limit.
+func secondsDuration(seconds float64, limit time.Duration) time.Duration {
+	return time.Duration(min(seconds, limit.Seconds()) * float64(time.Second))
 }
 
 // Refund returns the tokens charged for a request that did not run.
--- a/state/allotter/allotter_test.go
+++ b/state/allotter/allotter_test.go
@@ -316,6 +316,19 @@
 		Expect(wait).To(BeNumerically(">", 0))
 	})
 
+	// Guards against a crowd that was told the same time, and is refused together again.
+	It("tells refused requests to come back one after the other, as their tokens return", func() {
+		f := newFleet(1)
+		var delays []time.Duration
+		for len(delays) < 12 {
+			if taken, wait := f.instances[0].Take(workspace, workspace.Rate/5, f.now); !taken {
+				delays = append(delays, wait)
+			}
+		}
+		Expect(delays[5] - delays[4]).To(BeNumerically("~", 180*time.Millisecond, 20*time.Millisecond))
+		Expect(delays[11]).To(BeNumerically(">", delays[0]+1500*time.Millisecond))
+	})
+
 	It("refunds a request that did not run", func() {
 		f := newFleet(1)
 		for range 20 {
--- a/state/allotter/bucket.go
+++ b/state/allotter/bucket.go
@@ -27,6 +27,9 @@
 	// part of it that has not been sent to peers yet. forfeited is the credit
 	// given up in unsuccessful random draws since the last report.
 	consumed, unreported, forfeited float64
+	// toldUntil is when the last of the requests that this instance has refused was told to
+	// come back. The tokens that return until then are promised.
+	toldUntil time.Time
 	// demandSlots is a ring of the demand in the newest time slots, in tokens.
 	demandSlots [demandSlotCount]float64
 	// newestSlot is the number of the newest time slot since the start.
