--- a/transport/acceptor/keeper.go
+++ b/transport/acceptor/keeper.go
@@ -28,7 +28,7 @@
 type KeeperConfig struct {
 	// MaxConnections is the maximum number of open connections.
 	MaxConnections int
-	// OnClose receives the cause of each connection that is closed above the maximum.
+	// OnClose receives the cause of each connection above the maximum, before it is closed.
 	OnClose func(cause Cause)
 }
 
@@ -110,8 +110,8 @@
 	}
 	k.mu.Unlock()
 	if isFull {
-		_ = victim.Close()
 		k.config.OnClose(cause)
+		_ = victim.Close()
 	}
 }
 
