Give upstreams of a plain service that are alike equal parts

Cause: since calls are admitted by the expected time of their answer, the choice between upstreams of a plain service ended in a tie-break of up to 3 ms that was the same for equal requests. A service that answers within a millisecond then got all of them at one upstream, and one that was added got none.

Change: the tie-break differs from choice to choice, and its range is a quarter of the cost of one running request at the upstream.

Test, failing before: 'get equal parts of the calls of one caller if they are alike' (one upstream of three had all 300 requests).

--- a/state/selector/plain.go
+++ b/state/selector/plain.go
@@ -25,7 +25,8 @@
 	// depthRecovery is the time in which a lowered bound rises by as many requests as the
 	// upstream has slots.
 	depthRecovery = time.Second
-	// plainTieBreakFraction scales the tie-break down to the cost of one running request.
+	// plainTieBreakFraction is the range of the tie-break, as a fraction of the cost of one
+	// running request.
 	plainTieBreakFraction = 0.25
 )
 
@@ -90,10 +91,11 @@
 	return Chosen
 }
 
-// plainCostMillis estimates the time to the answer of an upstream of a plain service.
-func (s *Selector) plainCostMillis(c *candidate, request *Request, now time.Time) float64 {
-	return s.serviceMillis(c, now)*(1+float64(c.inFlight())/c.plainSlots()) +
-		plainTieBreakFraction*tieBreakMillis(c.hash, request.Fingerprint)
+// plainCostMillis estimates the time to the answer of an upstream of a plain service. The
+// tie-break differs from choice to choice, so that upstreams that are alike get equal parts.
+func (s *Selector) plainCostMillis(c *candidate, now time.Time) float64 {
+	tieBreak := plainTieBreakFraction * tieBreakMillis(c.hash, s.choices) / tieBreakRangeMillis
+	return s.serviceMillis(c, now) * (1 + (float64(c.inFlight())+tieBreak)/c.plainSlots())
 }
 
 // serviceMillis estimates the time that the upstream takes for a request once it has begun.
--- a/state/selector/plain_test.go
+++ b/state/selector/plain_test.go
@@ -174,6 +174,29 @@
 		Expect(share(d)).To(BeNumerically(">", 0.9))
 	})
 
+	// Guards against equal requests, one after the other, that all go to one upstream of a service
+	// that answers within a millisecond, and never to one that was added.
+	It("get equal parts of the calls of one caller if they are alike", func() {
+		s := newSelector(topology(), 100)
+		var registrations []*catalog.Upstream
+		for i := range 3 {
+			registrations = append(registrations, &catalog.Upstream{ID: fmt.Sprint(i), Service: "desk", AvailabilityZone: "za", Slots: 4})
+		}
+		s.SetTopology(topology(registrations...))
+		counts := make(map[string]int)
+		for i := range 300 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			reservation, _ := s.Choose(&selector.Request{Service: "desk", Fingerprint: 7, Objective: deskObjective}, now)
+			reservation.MarkFirstByte()
+			reservation.Release(selector.Served, now.Add(600*time.Microsecond))
+			counts[reservation.Upstream.ID]++
+		}
+		Expect(counts).To(HaveLen(3))
+		for _, count := range counts {
+			Expect(count).To(BeNumerically(">", 50))
+		}
+	})
+
 	It("get free slots only where the objective is unknown", func() {
 		s := newSelector(topology(&catalog.Upstream{ID: "1", Service: "desk", Slots: 1}), 100)
 		_, result := s.Choose(&selector.Request{Service: "desk"}, start)
--- a/state/selector/selector.go
+++ b/state/selector/selector.go
@@ -176,6 +176,8 @@
 	changedLoads map[string]bool
 	// compared holds the candidates whose health has a comparison.
 	compared map[*candidate]bool
+	// choices counts the calls of Choose.
+	choices uint64
 	// serviceTimes holds the averages of all upstreams of each plain service.
 	serviceTimes map[string]serviceTime
 	// baselines holds the usual gaps between the events of streams.
@@ -272,6 +274,7 @@
 func (s *Selector) Choose(request *Request, now time.Time) (*Reservation, Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.choices++
 	service := s.service(request.Service)
 	var best, ejected cheapest
 	hasOther := false
@@ -403,7 +406,7 @@
 	}
 	cost += c.health.penaltyMillis(now)
 	if request.Model == "" {
-		return cost + s.plainCostMillis(c, request, now)
+		return cost + s.plainCostMillis(c, now)
 	}
 	work := (c.waitingTokens() + c.uncachedTokens(request)) / prefillTokensPerMilli
 	work += float64(c.inFlight()) * runningRequestCostMillis
