--- /dev/null
+++ b/review/harness-2/case_gone.go
@@ -0,0 +1,50 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// notice is the time between the notice of an engine that is taken away and its end.
+const notice = 2 * time.Second
+
+func caseGone(s *site, trouble bool) (verdict, error) {
+	s.putTable()
+	// One of eight is no more than the share of 0.14 that the site allows.
+	s.addEngines(modelService, 8)
+	for _, e := range s.engines {
+		e.isUnframed = true
+	}
+	if err := s.start(3); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(5 * time.Second)
+	streams := s.startTraffic(30*time.Millisecond, func(number int) call {
+		c := soundCall(number)
+		c.key = unlimitedKey
+		return c
+	})
+	time.Sleep(3 * time.Second)
+	if trouble {
+		s.engines[0].takeAway(notice)
+	} else {
+		time.Sleep(notice)
+	}
+	time.Sleep(3 * time.Second)
+	streams.end()
+	whole, short := 0, 0
+	for _, a := range streams.answers {
+		switch {
+		case a.events == longEvents:
+			whole++
+		case a.events > 0:
+			short++
+			s.log.printf("%s ended as complete after %d of %d events", a.id, a.events, longEvents)
+		}
+	}
+	return verdict{isBroken: short > 0, text: fmt.Sprintf(
+		"%d streams, %d whole, %d ended as complete before their last event", len(streams.answers), whole, short,
+	)}, nil
+}
