--- a/review/harness-2/main_test.go
+++ b/review/harness-2/main_test.go
@@ -55,7 +55,7 @@
 type caseFunc func(s *site, trouble bool) (verdict, error)
 
 // cases holds the cases by their names.
-var cases = map[string]caseFunc{"models": caseModels, "poison": casePoison, "restart": caseRestart, "path": casePath, "gone": caseGone, "blank": caseBlank}
+var cases = map[string]caseFunc{"models": caseModels, "poison": casePoison, "restart": caseRestart, "path": casePath, "gone": caseGone, "blank": caseBlank, "tokens": caseTokens}
 
 // TestMain runs one case. build-2.sh builds the test binary, which the scripts start.
 func TestMain(_ *testing.M) {
