--- a/review/harness-2/engine_test.go
+++ b/review/harness-2/engine_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,7 +20,7 @@
 	eventsPerRun = 8
 	longEvents   = 40
 	// spoiledShare is the inverse of the share of spoiled answers.
-	spoiledShare  = 20
+	spoiledShare  = 42
 	eventInterval = 20 * time.Millisecond
 	// restartTime is the time after which an engine that has crashed is back.
 	restartTime = 2 * time.Second
@@ -65,7 +66,6 @@
 	// isSpoiling makes the first event stand in the place of the blank line of the head, in one of
 	// spoiledShare streams that end with their connection.
 	isSpoiling bool
-	streams    int
 	// leavesAt is when the engine is gone, of which its registrations tell. It is zero if it stays.
 	leavesAt time.Time
 	conns    map[net.Conn]bool
@@ -73,6 +73,9 @@
 	gone, closed chan struct{}
 }
 
+// spoilable counts the answers of the engines that spoil some.
+var spoilable atomic.Int64
+
 // slowInterval is the time between two events of a stream without a length.
 const slowInterval = 100 * time.Millisecond
 
@@ -319,9 +322,8 @@
 	}
 	defer conn.Close()
 	e.mu.Lock()
-	e.streams++
 	blankLine := "\r\n"
-	if e.isSpoiling && e.streams%spoiledShare == 0 {
+	if e.isSpoiling && spoilable.Add(1)%spoiledShare == 0 {
 		blankLine = ""
 		e.log.printf("engine %s leaves the blank line of %s out", e.id, id)
 	}
