Do not take a reset that a write has found for the end of a response

An engine answered an upload of 1 MB at once, with 200 and no length, sent a part of the body and reset the connection while the upload was being written. Callers got the part as a complete response.

Cause: the kernel reports a reset once, to the next call on the socket. A request that is still being written makes two calls at a time. If the write gets the error, the read after it returns io.EOF, the end of a response without a length; net/http closes the connection only then.

At the end of a connection, Read ends the write that may be under way and returns its error if the connection was lost. EPIPE does not count: the peer had closed its side, and its response is whole.

Why it works: a write that has taken the error holds the lock until it has recorded it.

--- a/transport/connector/log.go
+++ b/transport/connector/log.go
@@ -18,6 +18,7 @@
 	"github.com/crocushollow/crocushollow/coordination/follower"
 	"github.com/crocushollow/crocushollow/protocol/bounder"
 	"github.com/crocushollow/crocushollow/transport/dialer"
+	"github.com/crocushollow/crocushollow/transport/requester"
 )
 
 // Limits on connections to the platform and to the control API of engines.
@@ -35,13 +36,13 @@
 // newClient returns an HTTP client that opens connections from a source address.
 // The context of each request sets its deadline.
 func newClient(source netip.Addr) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: requester.New(&http.Transport{
 		DialContext:         dialer.New(dialer.Config{SourceAddress: source, Timeout: dialTimeout, KeepAlive: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	})}
 }
 
 // StatusError reports an HTTP response with an unexpected status.
--- a/transport/forwarder/forwarder.go
+++ b/transport/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"github.com/crocushollow/crocushollow/protocol/executor"
 	"github.com/crocushollow/crocushollow/state/scheduler"
 	"github.com/crocushollow/crocushollow/transport/dialer"
+	"github.com/crocushollow/crocushollow/transport/requester"
 )
 
 // Headers exchanged with upstreams.
@@ -64,8 +65,8 @@
 // Forwarder implements executor.Sender.
 type Forwarder struct {
 	config   Config
-	pooled   *http.Transport
-	unpooled *http.Transport
+	pooled   *requester.Transport
+	unpooled *requester.Transport
 }
 
 // New returns a forwarder.
@@ -88,14 +89,14 @@
 // newTransport returns a transport that keeps up to maxIdleConns idle
 // connections per host, or none if maxIdleConns is negative. TCP keep-alive
 // detects connections whose state a NAT or firewall has dropped.
-func newTransport(config Config, maxIdleConns int) *http.Transport {
+func newTransport(config Config, maxIdleConns int) *requester.Transport {
 	connDialer := dialer.New(dialer.Config{
 		SourceAddress:      config.SourceAddress,
 		Timeout:            config.DialTimeout,
 		KeepAlive:          time.Second,
 		ReceiveBufferBytes: receiveBufferBytes,
 	})
-	return &http.Transport{
+	return requester.New(&http.Transport{
 		DialContext:         connDialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableKeepAlives:   maxIdleConns < 0,
@@ -105,7 +106,7 @@
 		WriteBufferSize:     16 << 10,
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
