Do not take a response whose status is none of HTTP for an answer

An engine in trouble sent an answer whose status was 000. Each caller's connection was reset, on routes that are sent once, that may be repeated and of streams, and in the own surroundings. Also found: status 600 and above reached callers with the body, 101 as a response without an end, and an append that the store answered so counted as rejected, although its outcome is unknown.

Cause: net/http takes any three characters that are a number for a status (+20 too). Its server gives a handler up that sends a status below 100.

Change: requester's connections check the heads of responses as they are read, with those of interim responses; a Transport says where a response is expected to begin. A status outside of 100 to 599, or 101, which nobody asks for, is the error of the request.

Why it works: the check reads the bytes before net/http does, and a response with such a status line never gets to the end of its head. net/http does not repeat the request by itself, as it has the first byte.

--- a/transport/requester/conn.go
+++ b/transport/requester/conn.go
@@ -14,9 +14,18 @@
 // The kernel reports the reset of a connection once. If a write gets the error, the reads after
 // it return io.EOF, as if the peer had closed the connection. Conn returns the error of the write
 // to them.
+//
+// Conn checks the heads of responses, as net/http passes the bytes of a connection on to no other
+// reader.
 type Conn struct {
 	net.Conn
 
+	// reading is held while the bytes of a read are checked.
+	reading sync.Mutex
+	head    headChecker
+	// headErr is the error of the first broken head. Reads return it from then on.
+	headErr error
+
 	// writing is held during a write.
 	writing sync.Mutex
 	// lost is the error with which the kernel reported to a write that the connection is lost. It
@@ -45,17 +54,41 @@
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. The error of a response whose head is broken is a *HeadError.
 func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.headError(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		if lost := c.endWrites(); lost != nil {
 			err = lost
 		}
 	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	sound, headErr := c.head.check(p[:n])
+	if headErr != nil {
+		c.headErr = headErr
+		return sound, headErr
+	}
 	return n, err
 }
 
+// expectHead makes the next byte that is read the first one of a response.
+func (c *Conn) expectHead() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	c.head = headChecker{statusLine: c.head.statusLine[:0]}
+}
+
+// headError returns the error of a response whose head was broken, or nil.
+func (c *Conn) headError() error {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	return c.headErr
+}
+
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
--- a/transport/requester/requester.go
+++ b/transport/requester/requester.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.RoundTripper. It is safe for concurrent use.
@@ -25,10 +26,25 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper. A read of the body returns an error other than io.EOF
-// if the connection was reset.
+// RoundTrip implements http.RoundTripper. The error of a response whose head is broken is a
+// *HeadError. A read of the body returns an error other than io.EOF if the connection was reset.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(request)
+	var used *Conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*Conn); ok {
+			used = conn
+			conn.expectHead()
+		}
+	}})
+	response, err := t.base.RoundTrip(request.WithContext(ctx))
+	if err == nil || used == nil {
+		return response, err
+	}
+	// The error of net/http may be that of the part of the head that it has received.
+	if headErr := used.headError(); headErr != nil {
+		return nil, headErr
+	}
+	return nil, err
 }
 
 // CloseIdleConnections closes the connections that no request uses. http.Client calls it.
