Do not take a response with an invalid name of a field for an answer

An engine in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer, without the field; where the field was the transfer coding, with the sizes of the chunks in the body. Streams were passed on, too, where their body was a stream. A line that begins with a blank became a part of the value before it.

Cause: net/http accepts blanks in names, keeps the field under that name, which is no field that it knows, and leaves it out when it sends the head. Lines that begin with a blank continue the one before.

Change: requester's check of heads takes a byte that a name may not have (RFC 9110, 5.6.2) for the error of the request. So it does with a blank at the start of a line: such lines are obsolete, and RFC 9112, 5.2 lets a gateway answer them with 502. Statements in such heads ("not run", 421) do not count.

Why it works: reads return the error from the byte on, so net/http never gets the end of the head.

A control byte in a name was rejected before: its entries in integration and platform passed; they stay.

--- a/integration/broken_head_test.go
+++ b/integration/broken_head_test.go
@@ -12,13 +12,16 @@
 	"github.com/crocushollow/crocushollow/platform/platformtest"
 )
 
-// brokenHeadBody is the body of responses with a broken head.
-const brokenHeadBody = `{"broken":true}`
+// brokenHeadBody is the body of responses with a broken head. It is a whole stream too.
+const brokenHeadBody = "id: 1\ndata: " + brokenMark + "\n\ndata: [DONE]\n\n"
+
+// brokenMark is a part of brokenHeadBody.
+const brokenMark = `{"broken":true}`
 
 // brokenHead returns a response whose status line and fields are inserted into a head that is
 // otherwise sound.
 func brokenHead(name, status, fields string) cutForm {
-	return cutForm{name: name, text: "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nX-Request-Id: %ID\r\n" +
+	return cutForm{name: name, text: "HTTP/1.1 " + status + "\r\nContent-Type: text/event-stream\r\nX-Request-Id: %ID\r\n" +
 		fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(brokenHeadBody)) + brokenHeadBody}
 }
 
@@ -31,10 +34,29 @@
 	return forms
 }
 
+// brokenNames returns responses with a field whose name is invalid.
+func brokenNames() []cutForm {
+	var forms []cutForm
+	for name, line := range map[string]string{
+		"a blank in a name": "X Bad: 1", "a blank before a name": " X-Bad: 1", "a blank after a name": "X-Bad : 1",
+		"a tab in a name": "X\tBad: 1", "a control byte in a name": "X\x01Bad: 1",
+	} {
+		forms = append(forms, brokenHead(name, "200 OK", line+"\r\n"))
+	}
+	chunked := cutForm{name: "a blank after the name of the transfer coding", text: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
+		"X-Request-Id: %ID\r\nTransfer-Encoding : chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(brokenHeadBody), brokenHeadBody)}
+	interim := brokenHead("a blank in a name of an interim response", "200 OK", "")
+	interim.text = "HTTP/1.1 103 Early Hints\r\nX Bad: 1\r\n\r\n" + interim.text
+	return append(forms, chunked, interim)
+}
+
+// brokenHeads returns responses with a broken head.
+func brokenHeads() []cutForm { return append(brokenStatuses(), brokenNames()...) }
+
 // isBroken reports whether a caller got something else than a response of the instance or a sound
 // one of an upstream.
 func isBroken(status int, body string, err error) bool {
-	return err != nil || status < http.StatusOK || status > http.StatusGatewayTimeout || strings.Contains(body, "broken")
+	return err != nil || status < http.StatusOK || status > http.StatusGatewayTimeout || strings.Contains(body, brokenMark)
 }
 
 var _ = Describe("Responses with a broken head, on the platform", func() {
@@ -44,7 +66,7 @@
 		f := startHostedFleet(1)
 		path := request.Path
 		var wrong []string
-		for n, form := range brokenStatuses() {
+		for n, form := range brokenHeads() {
 			request.ID = fmt.Sprintf("head-%d", n)
 			// Calls that are alike are refused after some failures.
 			if request.Path = path + "-" + request.ID; request.Body != "" {
@@ -82,7 +104,7 @@
 	// connection.
 	DescribeTable("passes no such response on", func(kind string) {
 		f := startFleet(1)
-		forms := brokenStatuses()
+		forms := brokenHeads()
 		played := f.cutUpstreams(forms)
 		address := f.running()[0].callerAddress
 		var wrong []string
--- a/transport/requester/head.go
+++ b/transport/requester/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 )
 
 // HeadError reports a response whose head is broken. Its text has no bytes of the response.
@@ -11,7 +12,10 @@
 // Error implements error.
 func (e *HeadError) Error() string { return "broken head of a response: " + e.reason }
 
-var errStatus = &HeadError{"the status is not one of HTTP"}
+var (
+	errStatus = &HeadError{"the status is not one of HTTP"}
+	errName   = &HeadError{"the name of a field is invalid"}
+)
 
 // headState is where the next byte of a response stands.
 type headState int
@@ -21,7 +25,8 @@
 	atLineStart
 	// inEmptyLine is after a carriage return at the start of a line.
 	inEmptyLine
-	inField
+	inName
+	inValue
 	inBody
 )
 
@@ -48,7 +53,9 @@
 				return n + 1, err
 			}
 		default:
-			c.checkField(b)
+			if err := c.checkField(b); err != nil {
+				return n, err
+			}
 		}
 	}
 	return len(p), nil
@@ -93,19 +100,33 @@
 	return status
 }
 
-// checkField checks the next byte of a line after the status line.
-func (c *headChecker) checkField(b byte) {
-	isAtEnd := c.state == atLineStart || c.state == inEmptyLine
+// checkField checks the next byte of a line after the status line. A blank at the start of a line
+// is invalid too: lines that continue the one before are obsolete, and look like a field whose name
+// begins with a blank.
+func (c *headChecker) checkField(b byte) error {
 	switch {
-	case b == '\n' && isAtEnd:
+	case c.state == inValue:
+		if b == '\n' {
+			c.state = atLineStart
+		}
+	case b == '\n' && c.state != inName:
 		c.endHead()
-	case b == '\n':
-		c.state = atLineStart
 	case b == '\r' && c.state == atLineStart:
 		c.state = inEmptyLine
+	case b == ':' && c.state == inName:
+		c.state = inValue
+	case isNameByte(b) && c.state != inEmptyLine:
+		c.state = inName
 	default:
-		c.state = inField
+		return errName
 	}
+	return nil
+}
+
+// isNameByte reports whether the name of a field may have a byte (RFC 9110, 5.6.2).
+func isNameByte(b byte) bool {
+	return 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' ||
+		strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
 // endHead records the end of a head. That of an interim response is followed by another head.
