--- a/integration/broken_head_test.go
+++ b/integration/broken_head_test.go
@@ -70,7 +70,7 @@
 				request.Body = request.ID
 			}
 			for _, upstream := range f.AllUpstreams() {
-				upstream.SetCutResponse(strings.ReplaceAll(form.text, "%ID\r\n", "%ID\r\nX-Response-Stamp: s\r\n"), false)
+				upstream.SetCutResponse(platformtest.WithStamp(form.text), false)
 			}
 			f.SetBehaviour(onFirst(platformtest.CutResponse))
 			played := 0
--- a/integration/hosted_cut_test.go
+++ b/integration/hosted_cut_test.go
@@ -60,7 +60,7 @@
 				}
 				played := 0
 				for _, upstream := range f.AllUpstreams() {
-					upstream.SetCutResponse(strings.ReplaceAll(form.text, "%ID\r\n", "%ID\r\nX-Response-Stamp: s\r\n"), form.isReset)
+					upstream.SetCutResponse(platformtest.WithStamp(form.text), form.isReset)
 				}
 				f.SetBehaviour(onFirst(platformtest.CutResponse))
 				for end, try := time.Now().Add(8*time.Second), 0; played == 0 && time.Now().Before(end); try++ {
