--- a/transport/acceptor/socket_linux.go
+++ b/transport/acceptor/socket_linux.go
@@ -10,8 +10,9 @@
 
 // refuseConnections binds a listening socket to an interface that does not exist, so that the
 // kernel answers a SYN as if no socket listened. Handshakes under way and established
-// connections keep the binding with which they began. The kernel asks for no privilege if the
-// socket has not been bound to an interface before.
+// connections keep the binding with which they began. A SYN that the kernel handles during the
+// call may be dropped; its caller is refused when it repeats the SYN. The kernel asks for no
+// privilege if the socket has not been bound to an interface before.
 func refuseConnections(conn syscall.RawConn) error {
 	const noInterface = math.MaxInt32
 	return control(conn, func(fd int) error {
