Explain crashes by few parts, and try quarantined parts again

Callers saw: one engine holds a model, requests with a part that crashes engines come beside sound ones with a first part in common, and after the third crash all sound ones get 503 request_crashes_upstreams at all instances, for good.

Cause: a crash was explained only for the requests that have the crashing part. The others at the same crash stayed evidence against the common part. A quarantined part is cleared by a completed request only, and none is sent. Class: blame of what stood beside the cause, without a way back.

Change: the fewest parts that explain all crashes, with all requests at each, are quarantined; one whose crashes another part explains better is released. More events than a crash allows clear the parts of a request at once. Two requests of the fleet with a part that has completed requests are sent as trials, from 1 s on; one after 2 minutes for any other part. In the own surroundings, attempts that fail at one upstream within 300 ms are one crash.

--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -76,6 +76,11 @@
 	i.logger.Warn().Uint64("part", uint64(part)).Bool("quarantined", isQuarantined).Msg("prompt part that crashes upstreams")
 }
 
+// logPartTrial logs that a request with a quarantined prompt part is sent to an upstream.
+func (i *Instance) logPartTrial(part quarantiner.Part) {
+	i.logger.Warn().Uint64("part", uint64(part)).Msg("trial of a prompt part that seems to crash upstreams")
+}
+
 // buildHeartbeat returns this instance's current full heartbeat.
 func (i *Instance) buildHeartbeat() gossiper.Heartbeat {
 	now := time.Now()
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -194,7 +194,7 @@
 		},
 	}
 	i.aborted, i.abort = context.WithCancel(context.Background())
-	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart})
+	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart, OnTrial: i.logPartTrial})
 	i.throttler = throttler.New(throttler.Config{
 		IsRegistered: i.isRegistered, OnNews: func() { signal(i.rateLimitsChanged) }, OnChange: i.logRateLimit,
 	})
--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -159,6 +159,79 @@
 		}
 	})
 
+	// startSlowEngine starts a fleet whose only engine sends its first event late enough that
+	// all requests that it runs are suspected when it ends.
+	startSlowEngine := func(behaviour func(platformtest.Execution) platformtest.Behaviour) (*hostedFleet, string) {
+		GinkgoHelper()
+		f := startHostedFleet(3)
+		config := engineConfig(0, false)
+		config.EventInterval = 150 * time.Millisecond
+		f.StartUpstream(config).SetBehaviour(behaviour)
+		f.DeregisterUpstream("i-a")
+		f.DeregisterUpstream("i-b")
+		time.Sleep(time.Second)
+		return f, config.ID
+	}
+	// sessionRequest returns a sound request of one of many sessions, which all have the first
+	// part of their prompt in common.
+	sessionRequest := func(number int) platformtest.Request {
+		return platformtest.Request{
+			Path: platformtest.StreamingPath, Model: platformtest.Model, Body: fmt.Sprint("sound ", number),
+			PromptParts: []string{"aa00", fmt.Sprintf("bb%02d", number%40)},
+		}
+	}
+
+	// Guards against refusing all requests with a common part, and thereby all that could clear
+	// it, since requests with it ran beside those that ended the engine.
+	It("are told from sound requests that ran beside them at the only engine with their model", func() {
+		f, _ := startSlowEngine(func(execution platformtest.Execution) platformtest.Behaviour {
+			if execution.HasPromptPart(crashingPart) {
+				return platformtest.EndEngine
+			}
+			return platformtest.Serve
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		sound := f.startFlood(ctx, 120*time.Millisecond, sessionRequest)
+		time.Sleep(2 * time.Second)
+		poison := f.startFlood(ctx, 100*time.Millisecond, func(number int) platformtest.Request {
+			return platformtest.Request{
+				Path: platformtest.StreamingPath, Model: platformtest.Model, Body: fmt.Sprint("crash ", number), PromptParts: []string{"aa00", crashingPart},
+			}
+		})
+		time.Sleep(5 * stableTime)
+		cancel()
+		sound.done.Wait()
+		poison.done.Wait()
+		fifth := f.lastToleratedCrash()
+		Expect(f.crashingArrivals(fifth.Add(stableTime))).To(BeNumerically("<=", toleratedRequests))
+		sent, served := sound.served(fifth.Add(2 * stableTime))
+		Expect(sent).To(BeNumerically(">=", 20))
+		Expect(served).To(BeNumerically(">=", sent/2))
+	})
+
+	// Guards against refusing sound requests for good after the only engine with their model has
+	// ended three times by itself.
+	It("do not share it if the only engine with their model ends by itself", func() {
+		f, engine := startSlowEngine(func(platformtest.Execution) platformtest.Behaviour { return platformtest.Serve })
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		sound := f.startFlood(ctx, 60*time.Millisecond, sessionRequest)
+		time.Sleep(2 * time.Second)
+		for range 3 {
+			Eventually(func() []platformtest.Execution { return f.Upstreams()[engine].Executions() }, "10s", "5ms").ShouldNot(BeEmpty())
+			time.Sleep(100 * time.Millisecond)
+			f.CrashUpstream(engine)
+		}
+		endedAt := time.Now()
+		time.Sleep(5 * stableTime)
+		cancel()
+		sound.done.Wait()
+		sent, served := sound.served(endedAt.Add(2 * stableTime))
+		Expect(sent).To(BeNumerically(">=", 20))
+		Expect(served).To(BeNumerically(">=", sent/2))
+	})
+
 	// Guards against requests that end one engine after the other since no two of them
 	// are alike, and against refusing sound requests that share other parts with them.
 	DescribeTable("stop reaching engines, and requests with their other parts stay served",
--- a/protocol/executor/parts.go
+++ b/protocol/executor/parts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 type partTracker struct {
 	mu    sync.Mutex
 	parts *quarantiner.PartQuarantiner
+	// crashes holds the latest crash of each upstream.
+	crashes map[string]upstreamCrash
 	// nextOffset is the offset of the log up to which events have been taken.
 	nextOffset uint64
 	// hasNews means that a part was suspected, found or cleared.
@@ -30,12 +33,13 @@
 }
 
 func newPartTracker(logger zerolog.Logger) *partTracker {
-	t := &partTracker{}
+	t := &partTracker{crashes: make(map[string]upstreamCrash)}
 	t.parts = quarantiner.NewParts(quarantiner.PartsConfig{
 		OnNews: func() { t.hasNews = true },
 		OnChange: func(part quarantiner.Part, isQuarantined bool) {
 			logger.Warn().Uint64("part", uint64(part)).Bool("quarantined", isQuarantined).Msg("prompt part that crashes upstreams")
 		},
+		OnTrial: func(quarantiner.Part) {},
 	})
 	return t
 }
@@ -45,7 +49,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, event := range state.PartEventsSince(t.nextOffset) {
-		report := partReport(event, now)
+		report := t.partReport(event, now)
 		t.parts.Merge(&report, now)
 	}
 	t.nextOffset = max(t.nextOffset, state.NextOffset())
@@ -62,14 +66,42 @@
 	return t.hasNews
 }
 
-// partReport converts an event of the log.
-func partReport(event crocushollow.SuspectEvent, now time.Time) quarantiner.PartReport {
+// upstreamCrash is a crash of an upstream, which may end several attempts.
+type upstreamCrash struct {
+	id uint64
+	at time.Time
+}
+
+const (
+	// commonCrashTime is the time within which the attempts at an upstream that fail have
+	// met the same crash.
+	commonCrashTime = 300 * time.Millisecond
+	// crashRetention is how long the latest crash of an upstream is kept.
+	crashRetention = time.Minute
+)
+
+// crashID returns an identifier that the attempts share which have met the same crash. The
+// caller must lock mu.
+func (t *partTracker) crashID(event *crocushollow.SuspectEvent) uint64 {
+	at := time.UnixMilli(event.At)
+	known, found := t.crashes[event.Upstream]
+	if found && at.Sub(known.at).Abs() < commonCrashTime {
+		return known.id
+	}
+	maps.DeleteFunc(t.crashes, func(_ string, crash upstreamCrash) bool { return at.Sub(crash.at) > crashRetention })
+	id := binary.BigEndian.Uint64(event.Attempt[:])
+	t.crashes[event.Upstream] = upstreamCrash{id: id, at: at}
+	return id
+}
+
+// partReport converts an event of the log. The caller must lock mu.
+func (t *partTracker) partReport(event crocushollow.SuspectEvent, now time.Time) quarantiner.PartReport {
 	parts := toParts(event.Parts)
 	if event.Kind == crocushollow.ClearedEvent {
 		return quarantiner.PartReport{Sound: parts}
 	}
 	return quarantiner.PartReport{Suspicions: []quarantiner.Suspicion{{
-		Crash:   binary.BigEndian.Uint64(event.Attempt[:]),
+		Crash:   t.crashID(&event),
 		Request: binary.BigEndian.Uint64(event.Fingerprint[:]),
 		Parts:   parts,
 		Age:     max(now.Sub(time.UnixMilli(event.At)), 0),
--- a/protocol/proxy/crash.go
+++ b/protocol/proxy/crash.go
@@ -68,6 +68,40 @@
 	return upstream.ID + " " + strconv.FormatInt(upstream.StartUnixMilli, 10)
 }
 
+// checkParts rejects a call whose prompt has a part that crashes upstreams, unless the call
+// may be a trial of that part.
+func (r *run) checkParts(now time.Time) *rejecter.Error {
+	parts := r.proxy.config.Parts
+	if !parts.IsQuarantined(r.parts, now) {
+		return nil
+	}
+	if r.isTrial = parts.IsTrialOpen(r.parts, now); !r.isTrial {
+		return errPartCrashesUpstreams
+	}
+	return nil
+}
+
+// claimTrial announces a call that is to be a trial. It rejects the call if another one was
+// faster.
+func (r *run) claimTrial(now time.Time) *rejecter.Error {
+	if r.isTrial && !r.proxy.config.Parts.ClaimTrial(r.parts, now) {
+		return errPartCrashesUpstreams
+	}
+	return nil
+}
+
+// awaitTrial waits until all instances have heard that this call is to be a trial. It
+// reports whether the call may go on.
+func (r *run) awaitTrial(ctx context.Context) bool {
+	return !r.isTrial || r.pause(ctx, quarantiner.ClaimTime)
+}
+
+// maySendParts reports whether the call may be sent to an upstream with its prompt.
+func (r *run) maySendParts(now time.Time) bool {
+	parts := r.proxy.config.Parts
+	return !parts.IsQuarantined(r.parts, now) || r.isTrial && parts.TakeTrial(r.parts, now)
+}
+
 // quarantineError returns the error of a call whose prompt has a part that was found to
 // crash upstreams while the call waited.
 func (r *run) quarantineError() *rejecter.Error {
--- a/protocol/proxy/proxy.go
+++ b/protocol/proxy/proxy.go
@@ -238,14 +238,17 @@
 		return errCrashesUpstreams
 	}
 	r.parts = r.call.sharedParts()
-	if r.proxy.config.Parts.IsQuarantined(r.parts, now) {
-		return errPartCrashesUpstreams
+	if apiErr := r.checkParts(now); apiErr != nil {
+		return apiErr
 	}
 	if apiErr := r.checkShutdown(now); apiErr != nil {
 		return apiErr
 	}
 	r.addDemand()
-	return r.charge(now)
+	if apiErr := r.charge(now); apiErr != nil {
+		return apiErr
+	}
+	return r.claimTrial(now)
 }
 
 func (r *run) authenticate(table *catalog.Catalog) *rejecter.Error {
--- a/protocol/proxy/run.go
+++ b/protocol/proxy/run.go
@@ -27,6 +27,9 @@
 	fingerprint quarantiner.Fingerprint
 	// parts are the parts of the prompt that other calls may share.
 	parts []quarantiner.Part
+	// isTrial means that the call is to show whether a quarantined part of its prompt
+	// crashes upstreams.
+	isTrial bool
 	// deadline is when the caller's or the route's timeout expires, whichever
 	// is earlier.
 	deadline time.Time
@@ -90,6 +93,10 @@
 		r.fail(ctx, apiErr)
 		return
 	}
+	if !r.awaitTrial(ctx) {
+		r.fail(ctx, errPartCrashesUpstreams)
+		return
+	}
 	config.Budgeter.RecordRequest(r.request.Service, config.Now())
 	for {
 		r.request.SoftwareVersion = r.stream.softwareVersion
@@ -103,7 +110,7 @@
 			r.fail(ctx, apiErr)
 			return
 		}
-		if config.Parts.IsQuarantined(r.parts, config.Now()) {
+		if !r.maySendParts(config.Now()) {
 			reservation.Release(selector.Abandoned, config.Now())
 			r.fail(ctx, r.quarantineError())
 			return
--- a/protocol/proxy/stream.go
+++ b/protocol/proxy/stream.go
@@ -160,6 +160,9 @@
 		reservation.MarkFirstByte()
 		r.recordUsage()
 	}
+	if r.stream.hasPassedCrash(eventsBefore) {
+		r.proxy.config.Parts.RecordCompletion(r.parts, r.proxy.config.Now())
+	}
 	reservation.ObserveEvents(r.stream.events-eventsBefore, r.proxy.config.Now())
 	if !r.headerSent {
 		r.writeHeader(response)
@@ -183,6 +186,12 @@
 	r.stream.lastWriteAt = now
 }
 
+// hasPassedCrash reports whether the current attempt has just sent more events than one that
+// crashes its upstream.
+func (p *streamProgress) hasPassedCrash(eventsBefore int) bool {
+	return eventsBefore-p.eventsBefore <= maxEventsBeforeCrash && p.eventsOfAttempt() > maxEventsBeforeCrash
+}
+
 // advance records complete events as sent and returns them. It returns those before an event
 // that does not come after the one before it, that has no ID in a continuation, or that exceeds
 // the bytes without an ID, and an error.
--- a/state/quarantiner/parts.go
+++ b/state/quarantiner/parts.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -51,19 +52,24 @@
 type QuarantinedPart struct {
 	Part      Part          `cbor:"1,keyasint"`
 	Remaining time.Duration `cbor:"2,keyasint"`
+	// Trials is the number of requests with the part that were sent to an upstream since
+	// it was quarantined, to find out whether it crashes upstreams.
+	Trials int `cbor:"3,keyasint,omitempty"`
 }
 
 // PartReport is what an instance tells its peers about parts.
 type PartReport struct {
 	Suspicions []Suspicion `cbor:"1,keyasint,omitempty"`
-	// Sound lists suspected parts with which a request has completed.
+	// Sound lists suspected parts with which a request has completed, or whose crashes
+	// another part explains.
 	Sound       []Part            `cbor:"2,keyasint,omitempty"`
 	Quarantined []QuarantinedPart `cbor:"3,keyasint,omitempty"`
+	Claims      []TrialClaim      `cbor:"4,keyasint,omitempty"`
 }
 
 // IsEmpty reports whether there is nothing to tell.
 func (r *PartReport) IsEmpty() bool {
-	return len(r.Suspicions) == 0 && len(r.Sound) == 0 && len(r.Quarantined) == 0
+	return len(r.Suspicions) == 0 && len(r.Sound) == 0 && len(r.Quarantined) == 0 && len(r.Claims) == 0
 }
 
 // suspicion is a Suspicion with the time of the crash.
@@ -84,9 +90,15 @@
 
 // quarantine is the state of a quarantined part.
 type quarantine struct {
-	until time.Time
+	// since is when this instance learned of it.
+	since, until time.Time
 	// reportedAt is when any instance last reported it.
 	reportedAt time.Time
+	// trials is the number of trials, and triedAt the time of the last one.
+	trials  int
+	triedAt time.Time
+	// claim is the claim to the next trial, or the zero value.
+	claim claim
 }
 
 // PartsConfig configures a PartQuarantiner. All fields are required. The functions must
@@ -96,12 +108,16 @@
 	OnNews func()
 	// OnChange is called when a part is quarantined or released.
 	OnChange func(part Part, isQuarantined bool)
+	// OnTrial is called when this instance takes a trial of a quarantined part.
+	OnTrial func(part Part)
 }
 
 // PartQuarantiner finds the part of a prompt that crashes upstreams, from the requests
 // that were running at each crash, at any instance. A part that crashes upstreams is
 // in every such crash, and no request with it ever completes; the other parts and the
-// requests that ran beside it complete sooner or later. It is safe for concurrent use.
+// requests that ran beside it complete sooner or later. Since crashes may have another
+// cause, a few requests with a quarantined part are sent to an upstream as a trial. It is
+// safe for concurrent use.
 type PartQuarantiner struct {
 	config PartsConfig
 
@@ -110,11 +126,15 @@
 	suspicions  []suspicion
 	completions map[Part]completion
 	quarantined map[Part]quarantine
+	// claimant identifies this instance in claims to trials.
+	claimant uint64
 }
 
 // NewParts returns a PartQuarantiner without suspicions.
 func NewParts(config PartsConfig) *PartQuarantiner {
-	return &PartQuarantiner{config: config, completions: make(map[Part]completion), quarantined: make(map[Part]quarantine)}
+	return &PartQuarantiner{
+		config: config, completions: make(map[Part]completion), quarantined: make(map[Part]quarantine), claimant: rand.Uint64() | 1,
+	}
 }
 
 // RecordCrash records a request that was running when its upstream crashed.
@@ -128,18 +148,17 @@
 	q.config.OnNews()
 }
 
-// RecordCompletion records that a request with these parts has completed, and thereby
-// that none of them crashes upstreams.
+// RecordCompletion records that a request with these parts has completed, or is so far
+// that a request that crashes upstreams would have done so: none of them does.
 func (q *PartQuarantiner) RecordCompletion(parts []Part, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	wasQuarantined := q.hasQuarantined(parts)
 	for _, part := range parts {
-		if q.clear(part, now) {
-			known := q.completions[part]
-			known.reportsLeft = maxReports
-			q.completions[part] = known
-			q.config.OnNews()
-		}
+		q.release(part, now)
+	}
+	if wasQuarantined {
+		q.reconsider(now)
 	}
 }
 
@@ -165,9 +184,13 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	wasQuarantined := q.hasQuarantined(report.Sound)
 	for _, part := range report.Sound {
 		q.clear(part, now)
 	}
+	if wasQuarantined {
+		q.reconsider(now)
+	}
 	for _, s := range report.Suspicions {
 		q.add(s, 0, now)
 	}
@@ -177,14 +200,27 @@
 		}
 		known, found := q.quarantined[part.Part]
 		if !found {
+			known.since = now
 			q.config.OnChange(part.Part, true)
 		}
+		known.hearTrials(part.Trials, now)
 		if until := now.Add(min(part.Remaining, quarantineTime)); until.After(known.until) {
 			known.until = until
 		}
 		known.reportedAt = now
 		q.quarantined[part.Part] = known
 	}
+	for _, claim := range report.Claims {
+		q.hearClaim(claim, now)
+	}
+}
+
+// hasQuarantined reports whether one of the parts is quarantined. The caller must lock mu.
+func (q *PartQuarantiner) hasQuarantined(parts []Part) bool {
+	return slices.ContainsFunc(parts, func(part Part) bool {
+		_, isQuarantined := q.quarantined[part]
+		return isQuarantined
+	})
 }
 
 // Report returns what the peers should be told now.
@@ -201,6 +237,7 @@
 		}
 		report.Sound = q.appendSound(report.Sound, s.Parts)
 	}
+	report.Claims = q.reportClaims(now)
 	report.Quarantined = q.reportQuarantined(now)
 	return report
 }
@@ -231,14 +268,14 @@
 		case now.Sub(known.reportedAt) >= quarantineReportPeriod && len(parts) < maxReportedParts:
 			known.reportedAt = now
 			q.quarantined[part] = known
-			parts = append(parts, QuarantinedPart{Part: part, Remaining: known.until.Sub(now)})
+			parts = append(parts, QuarantinedPart{Part: part, Remaining: known.until.Sub(now), Trials: known.trials})
 		}
 	}
 	return parts
 }
 
-// add records a suspicion unless it is known, and quarantines a part if there is enough
-// evidence. The caller must lock mu.
+// add records a suspicion unless it is known, and reconsiders which parts crash upstreams.
+// The caller must lock mu.
 func (q *PartQuarantiner) add(s Suspicion, reports int, now time.Time) {
 	at := now.Add(-s.Age)
 	q.suspicions = slices.DeleteFunc(q.suspicions, func(known suspicion) bool { return now.Sub(known.at) > suspicionRetention })
@@ -250,65 +287,37 @@
 		q.suspicions = q.suspicions[1:]
 	}
 	q.suspicions = append(q.suspicions, suspicion{Suspicion: s, at: at, reportsLeft: reports})
-	if part, found := q.culprit(s.Parts); found {
-		q.quarantined[part] = quarantine{until: now.Add(quarantineTime)}
-		q.config.OnChange(part, true)
-		q.config.OnNews()
-	}
+	q.reconsider(now)
 }
 
-// culprit returns the part that has caused the crashes, if there is enough evidence
-// against one. If there is against several, it is the one with which the fewest requests
-// have completed, and then the one that fewer prompts can have in common.
-func (q *PartQuarantiner) culprit(parts []Part) (Part, bool) {
-	var best Part
-	found := false
-	for _, part := range parts {
-		if !q.hasEnoughCrashes(part) {
-			continue
-		}
-		if !found || q.completions[part].count <= q.completions[best].count {
-			best, found = part, true
+// reconsider quarantines the parts that explain the crashes best, and releases those whose
+// crashes another part explains better. The caller must lock mu.
+func (q *PartQuarantiner) reconsider(now time.Time) {
+	collected := q.collectEvidence()
+	culprits := q.culprits(collected)
+	for part := range culprits {
+		if _, isKnown := q.quarantined[part]; !isKnown {
+			q.quarantined[part] = quarantine{until: now.Add(quarantineTime), since: now}
+			q.config.OnChange(part, true)
+			q.config.OnNews()
 		}
 	}
-	return best, found
-}
-
-// hasEnoughCrashes reports whether enough crashes since the last completed request with
-// a part are not explained by another part.
-func (q *PartQuarantiner) hasEnoughCrashes(part Part) bool {
-	var times []time.Time
-	requests := make(map[uint64]bool)
-	for i := range q.suspicions {
-		s := &q.suspicions[i]
-		if !slices.Contains(s.Parts, part) || !s.at.After(q.completions[part].at) || q.isExplained(s) {
-			continue
+	for part := range q.quarantined {
+		if e := collected[part]; !culprits[part] && e != nil && e.isEnough() {
+			q.release(part, now)
 		}
-		times = append(times, s.at)
-		requests[s.Request] = true
 	}
-	return len(requests) >= minRequests && countSpaced(times) >= minCrashes
-}
-
-func (q *PartQuarantiner) isExplained(s *suspicion) bool {
-	return slices.ContainsFunc(s.Parts, func(part Part) bool {
-		_, isQuarantined := q.quarantined[part]
-		return isQuarantined
-	})
 }
 
-// countSpaced counts the times that are at least crashSpacing after the last counted one.
-func countSpaced(times []time.Time) int {
-	slices.SortFunc(times, time.Time.Compare)
-	count := 0
-	var last time.Time
-	for _, t := range times {
-		if count == 0 || t.Sub(last) >= crashSpacing {
-			count++
-			last = t
-		}
+// release clears a part and tells the peers. The caller must lock mu.
+func (q *PartQuarantiner) release(part Part, now time.Time) {
+	if !q.clear(part, now) {
+		return
 	}
-	return count
+	known := q.completions[part]
+	known.reportsLeft = maxReports
+	q.completions[part] = known
+	q.config.OnNews()
 }
 
 // clear records a completed request with a part. It reports whether the part was
--- a/state/quarantiner/parts_test.go
+++ b/state/quarantiner/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,7 +20,7 @@
 	start := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 	newParts := func() *quarantiner.PartQuarantiner {
-		return quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}})
+		return quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}, OnTrial: func(quarantiner.Part) {}})
 	}
 	suspect := func(crash, request uint64, parts ...quarantiner.Part) quarantiner.Suspicion {
 		return quarantiner.Suspicion{Crash: crash, Request: request, Parts: parts}
@@ -124,6 +125,131 @@
 		}
 	})
 
+	// Guards against refusing a common part, and thereby all that could clear it, since requests
+	// with it ran beside those that crashed the upstream.
+	It("does not blame the parts of requests that ran beside the one that crashed", func() {
+		for _, isCrasherFirst := range []bool{true, false} {
+			for _, completions := range []int{0, 5} {
+				q := newParts()
+				for range completions {
+					q.RecordCompletion([]quarantiner.Part{common, rare}, at(-1))
+				}
+				for crash := range uint64(3) {
+					suspicions := []quarantiner.Suspicion{
+						suspect(crash, 10*crash, common, crasher), suspect(crash, 10*crash+1, common, 20+quarantiner.Part(crash)), suspect(crash, 10*crash+2, common),
+					}
+					if !isCrasherFirst {
+						slices.Reverse(suspicions)
+					}
+					for n, suspicion := range suspicions {
+						q.RecordCrash(suspicion, at(4*float64(crash)+0.01*float64(n)))
+					}
+				}
+				Expect(isQuarantined(q, crasher, at(9))).To(BeTrue())
+				Expect(isQuarantined(q, common, at(9))).To(BeFalse())
+			}
+		}
+	})
+
+	// Guards against releasing a part that crashes upstreams since its crashes are explained by
+	// another part, which is quarantined later and by mistake.
+	It("keeps a part quarantined that explains crashes better than a common part", func() {
+		q := newParts()
+		q.RecordCompletion([]quarantiner.Part{common}, at(-1))
+		for crash := range uint64(3) {
+			q.RecordCrash(suspect(crash, crash, common, crasher), at(float64(crash)))
+		}
+		for crash := range uint64(3) {
+			q.RecordCrash(suspect(10+crash, 10+crash, common, 20+quarantiner.Part(crash)), at(4+float64(crash)))
+		}
+		Expect(isQuarantined(q, common, at(8))).To(BeTrue())
+		q.RecordCompletion([]quarantiner.Part{common, 30}, at(9))
+		Expect(isQuarantined(q, common, at(9))).To(BeFalse())
+		Expect(isQuarantined(q, crasher, at(9))).To(BeTrue())
+	})
+
+	Context("whose parts are quarantined for crashes that no request has caused", func() {
+		// exchange applies the reports of all instances to all others.
+		exchange := func(fleet []*quarantiner.PartQuarantiner, now time.Time) {
+			for _, from := range fleet {
+				report := from.Report(now)
+				for _, to := range fleet {
+					if to != from {
+						to.Merge(&report, now)
+					}
+				}
+			}
+		}
+		// crashedFleet returns instances that have quarantined a part with which requests have
+		// completed before.
+		crashedFleet := func() []*quarantiner.PartQuarantiner {
+			fleet := []*quarantiner.PartQuarantiner{newParts(), newParts(), newParts()}
+			for _, q := range fleet {
+				q.RecordCompletion([]quarantiner.Part{common}, at(-1))
+			}
+			for crash := range uint64(3) {
+				fleet[crash].RecordCrash(suspect(crash, crash, common, 20+quarantiner.Part(crash)), at(4*float64(crash)))
+				exchange(fleet, at(4*float64(crash)))
+			}
+			for _, q := range fleet {
+				Expect(isQuarantined(q, common, at(8))).To(BeTrue())
+			}
+			return fleet
+		}
+		prompt := []quarantiner.Part{common, rare}
+		// takeTrials claims and takes a trial at each instance, and returns how many were taken.
+		takeTrials := func(fleet []*quarantiner.PartQuarantiner, now float64) int {
+			for _, q := range fleet {
+				q.ClaimTrial(prompt, at(now))
+			}
+			exchange(fleet, at(now+0.1))
+			taken := 0
+			for _, q := range fleet {
+				if q.TakeTrial(prompt, at(now).Add(quarantiner.ClaimTime)) {
+					taken++
+				}
+				Expect(q.TakeTrial(prompt, at(now).Add(quarantiner.ClaimTime))).To(BeFalse())
+			}
+			exchange(fleet, at(now+1))
+			return taken
+		}
+
+		// Guards against refusing sound requests for good, which alone could clear their parts.
+		It("releases them after one request of the whole fleet has shown that they are sound", func() {
+			fleet := crashedFleet()
+			Expect(takeTrials(fleet, 8.1)).To(BeZero())
+			Expect(takeTrials(fleet, 9.5)).To(Equal(1))
+			fleet[1].RecordCompletion(prompt, at(11))
+			exchange(fleet, at(11))
+			for _, q := range fleet {
+				Expect(isQuarantined(q, common, at(11.1))).To(BeFalse())
+			}
+		})
+
+		// Guards against requests that go on to crash engines as trials.
+		It("sends two more requests with a part that does crash upstreams", func() {
+			fleet, taken := crashedFleet(), 0
+			for now := 9.0; now < 300; now++ {
+				taken += takeTrials(fleet, now)
+			}
+			Expect(taken).To(Equal(2))
+			started := newParts()
+			fleet = append(fleet, started)
+			for now := 300.0; now < 400; now++ {
+				started.RecordCompletion([]quarantiner.Part{rare}, at(now))
+				taken += takeTrials(fleet, now)
+			}
+			Expect(taken).To(Equal(2))
+		})
+
+		It("takes no trial of a prompt with two quarantined parts", func() {
+			fleet := crashedFleet()
+			fleet[0].Merge(&quarantiner.PartReport{Quarantined: []quarantiner.QuarantinedPart{{Part: rare, Remaining: time.Minute}}}, at(9))
+			Expect(fleet[0].IsTrialOpen(prompt, at(10))).To(BeFalse())
+			Expect(fleet[0].IsTrialOpen([]quarantiner.Part{common}, at(10))).To(BeTrue())
+		})
+	})
+
 	It("bounds its memory", func() {
 		q := newParts()
 		for n := range uint64(20000) {
