Repeat quarantined requests to instances that start or were cut off

Cause: only the instance that has seen a crash told of it, for 5 s. Class: news was told, state was not.

Change: any instance that refuses a request repeats its crashes each second, unless another one has just done so; prompt parts are repeated each second too (2 s before). A repetition is no new crash, and an instance that has completed the request answers it with the completion.

--- a/daemon/hosted/heartbeats.go
+++ b/daemon/hosted/heartbeats.go
@@ -40,34 +40,42 @@
 	}
 }
 
-// Intervals of messages about prompt parts that crash upstreams.
+// Intervals and limits of messages about prompt parts and requests that crash upstreams.
 const (
-	// partsBatchDelay is how long news is batched.
-	partsBatchDelay = 5 * time.Millisecond
-	// partsRepeatInterval is the time between two repetitions.
-	partsRepeatInterval = 500 * time.Millisecond
+	// quarantineBatchDelay is how long news is batched.
+	quarantineBatchDelay = 5 * time.Millisecond
+	// quarantineRepeatInterval is the time between two repetitions.
+	quarantineRepeatInterval = 500 * time.Millisecond
+	// maxRepeatedCrashes bounds the crashes of quarantined requests in a message, which must
+	// fit into a datagram.
+	maxRepeatedCrashes = 64
 )
 
-// broadcastParts tells all peers about prompt parts that may crash upstreams, at once
-// and again later, since messages may be lost.
-func (i *Instance) broadcastParts(ctx context.Context) error {
-	ticker := time.NewTicker(partsRepeatInterval)
+// broadcastQuarantines tells all peers about prompt parts that may crash upstreams, at once
+// and again later, since messages may be lost. It repeats what is quarantined for instances
+// that start or were cut off.
+func (i *Instance) broadcastQuarantines(ctx context.Context) error {
+	ticker := time.NewTicker(quarantineRepeatInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-i.partsChanged:
-			time.Sleep(partsBatchDelay)
+			time.Sleep(quarantineBatchDelay)
 		case <-ticker.C:
 		}
-		report := i.parts.Report(time.Now())
-		if report.IsEmpty() {
-			continue
-		}
+		now := time.Now()
 		heartbeat := gossiper.NewPartial()
-		heartbeat.Parts = &report
-		i.gossiper.Broadcast(heartbeat)
+		if report := i.parts.Report(now); !report.IsEmpty() {
+			heartbeat.Parts = &report
+		}
+		if report := i.quarantiner.Repeat(maxRepeatedCrashes, now); !report.IsEmpty() {
+			heartbeat.Requests = &report
+		}
+		if heartbeat.Parts != nil || heartbeat.Requests != nil {
+			i.gossiper.Broadcast(heartbeat)
+		}
 	}
 }
 
--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -293,7 +293,7 @@
 	group.Go(func() error { return i.origins.run(ctx) })
 	group.Go(func() error { return i.broadcastLoadChanges(ctx) })
 	group.Go(func() error { return i.broadcastPlacements(ctx) })
-	group.Go(func() error { return i.broadcastParts(ctx) })
+	group.Go(func() error { return i.broadcastQuarantines(ctx) })
 	group.Go(func() error { return i.broadcastRateLimits(ctx) })
 	group.Go(func() error {
 		select {
--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -132,6 +132,64 @@
 }
 
 var _ = Describe("Requests that share a prompt part that ends engines", func() {
+	// startPoisonedFleet starts a fleet with eight engines, each of which ends on a request.
+	startPoisonedFleet := func() (*hostedFleet, platformtest.Request) {
+		GinkgoHelper()
+		const poison = "ends each engine"
+		f := startHostedFleet(3)
+		f.replaceEngines(8, false, func(execution platformtest.Execution) platformtest.Behaviour {
+			if execution.Body == poison {
+				return platformtest.EndEngine
+			}
+			return platformtest.Serve
+		})
+		request := notesRequest()
+		request.Body = poison
+		return f, request
+	}
+
+	// Guards against a request that each instance sends on again after its restart, although all
+	// others refuse it.
+	It("are refused by instances that were restarted, if the whole request is the same", func() {
+		f, request := startPoisonedFleet()
+		for number := range 12 {
+			f.sendTo(number%len(f.Instances), request)
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := len(f.EndedAt())
+		for n := range 3 {
+			Expect(f.Instances[n].Kill()).To(Succeed())
+			f.startReadyInstance()
+			time.Sleep(stableTime)
+			for range 4 {
+				f.sendTo(len(f.Instances)-1, request)
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		Expect(len(f.EndedAt()) - before).To(BeZero())
+		Expect(f.sendTo(len(f.Instances)-1, notesRequest()).Status).To(Equal(200))
+	})
+
+	// Guards against an instance that was cut off while the others heard of the crashes.
+	It("are refused by instances that were cut off, if the whole request is the same", func() {
+		f, request := startPoisonedFleet()
+		f.Instances[2].CutFromPeers(true)
+		for number := range 12 {
+			f.sendTo(number%2, request)
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := len(f.EndedAt())
+		time.Sleep(2 * stableTime)
+		f.Instances[2].CutFromPeers(false)
+		time.Sleep(stableTime)
+		for range 4 {
+			f.sendTo(2, request)
+			time.Sleep(300 * time.Millisecond)
+		}
+		Expect(len(f.EndedAt()) - before).To(BeZero())
+		Expect(f.sendTo(2, notesRequest()).Status).To(Equal(200))
+	})
+
 	// Guards against refusing sound requests for long since their responses were lost.
 	It("are told from requests with a common part whose responses are lost", func() {
 		f := startHostedFleet(4)
--- a/state/quarantiner/parts.go
+++ b/state/quarantiner/parts.go
@@ -31,9 +31,6 @@
 	// maxReports is how often a suspicion or a completion is reported, since messages
 	// may be lost.
 	maxReports = 3
-	// quarantineReportPeriod is the time between two reports of a quarantined part, by
-	// any instance. An instance that starts learns of it from them.
-	quarantineReportPeriod = 2 * time.Second
 )
 
 // Suspicion is a request that was running when its upstream crashed and of whose
@@ -265,7 +262,7 @@
 		case !now.Before(known.until):
 			delete(q.quarantined, part)
 			q.config.OnChange(part, false)
-		case now.Sub(known.reportedAt) >= quarantineReportPeriod && len(parts) < maxReportedParts:
+		case now.Sub(known.reportedAt) >= repeatPeriod && len(parts) < maxReportedParts:
 			known.reportedAt = now
 			q.quarantined[part] = known
 			parts = append(parts, QuarantinedPart{Part: part, Remaining: known.until.Sub(now), Trials: known.trials})
--- a/state/quarantiner/quarantiner.go
+++ b/state/quarantiner/quarantiner.go
@@ -22,6 +22,12 @@
 	commonCauseTime = 2 * time.Second
 	// reportPeriod is how long a crash or a completion is reported to peers.
 	reportPeriod = 5 * time.Second
+	// repeatPeriod is the time between two repetitions of a quarantined part, or of the crashes
+	// of a quarantined request, by any instance. An instance that starts must learn of them in
+	// less time than the operators allow, also if a message is lost. maxRepeatedCrashes bounds
+	// the crashes of a request in one repetition.
+	repeatPeriod       = time.Second
+	maxRepeatedCrashes = 4
 	// maxEntries bounds the requests, and the incarnations, whose crashes are known.
 	// maxCrashes bounds the crashes of one request.
 	maxEntries = 4096
@@ -55,10 +61,14 @@
 type RequestReport struct {
 	Crashes     []Crash      `cbor:"1,keyasint,omitempty"`
 	Completions []Completion `cbor:"2,keyasint,omitempty"`
+	// Quarantined repeats crashes of quarantined requests, at any instance.
+	Quarantined []Crash `cbor:"3,keyasint,omitempty"`
 }
 
 // IsEmpty reports whether there is nothing to tell.
-func (r *RequestReport) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Completions) == 0 }
+func (r *RequestReport) IsEmpty() bool {
+	return len(r.Crashes) == 0 && len(r.Completions) == 0 && len(r.Quarantined) == 0
+}
 
 // mark is the time of a crash or a completion.
 type mark struct {
@@ -77,8 +87,12 @@
 	// crashes are those since the last completion.
 	crashes    map[Incarnation]mark
 	completion mark
-	// latest is the time of the latest crash, or that of the entry's creation.
+	// latest is the time of the latest crash, or that of the entry's creation without one.
 	latest time.Time
+	// repeatedAt is when any instance last repeated the crashes of a quarantined request.
+	repeatedAt time.Time
+	// refutedAt is when a peer last reported a crash before the completion.
+	refutedAt time.Time
 }
 
 // incarnationEntry is what is known of an incarnation that has crashed and not completed a
@@ -138,7 +152,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.requests[fingerprint]
-	if e == nil || now.Sub(e.latest) > crashRetention {
+	return e != nil && q.isQuarantined(e, now)
+}
+
+// isQuarantined reports whether the crashes of a request suffice to refuse it. The caller must
+// lock mu.
+func (q *Quarantiner) isQuarantined(e *requestEntry, now time.Time) bool {
+	if now.Sub(e.latest) > crashRetention {
 		return false
 	}
 	ended, sound, faulty := 0, 0, 0
@@ -166,8 +186,23 @@
 		}
 	}
 	for _, crash := range report.Crashes {
-		q.add(crash.Fingerprint, crash.Incarnation, mark{at: now.Add(-max(crash.Age, 0)), hasEnded: crash.HasEnded}, now)
+		q.mergeCrash(crash, now)
+	}
+	for _, crash := range report.Quarantined {
+		q.mergeCrash(crash, now)
+		q.request(crash.Fingerprint, now).repeatedAt = now
+	}
+}
+
+// mergeCrash applies a crash that a peer knows. If the request has completed since, the peer
+// has not heard of it. The caller must lock mu.
+func (q *Quarantiner) mergeCrash(crash Crash, now time.Time) {
+	at := now.Add(-max(crash.Age, 0))
+	if e := q.requests[crash.Fingerprint]; e != nil && !at.After(e.completion.at) {
+		e.refutedAt = now
+		return
 	}
+	q.add(crash.Fingerprint, crash.Incarnation, mark{at: at, hasEnded: crash.HasEnded}, now)
 }
 
 // Report returns what the peers should be told now, with at most limit crashes and as many
@@ -179,7 +214,7 @@
 	var report RequestReport
 	var news [][]Crash
 	for fingerprint, e := range q.requests {
-		if e.completion.isNews(now) && len(report.Completions) < limit {
+		if e.isCompletionNews(now) && len(report.Completions) < limit {
 			report.Completions = append(report.Completions, Completion{Fingerprint: fingerprint, Age: now.Sub(e.completion.at)})
 		}
 		if crashes := e.ownCrashes(fingerprint, now); len(crashes) > 0 {
@@ -193,6 +228,50 @@
 	return report
 }
 
+// Repeat returns crashes of the quarantined requests that no instance has repeated lately, at
+// most limit of them. An instance that starts, or was cut off, learns of them from any other one.
+func (q *Quarantiner) Repeat(limit int, now time.Time) RequestReport {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var report RequestReport
+	for fingerprint, e := range q.requests {
+		if now.Sub(e.repeatedAt) < repeatPeriod || !q.isQuarantined(e, now) {
+			continue
+		}
+		crashes := e.repeatedCrashes(fingerprint, now)
+		if len(report.Quarantined)+len(crashes) > limit {
+			continue
+		}
+		e.repeatedAt = now
+		report.Quarantined = append(report.Quarantined, crashes...)
+	}
+	return report
+}
+
+// isCompletionNews reports whether the peers should be told that the request has completed.
+func (e *requestEntry) isCompletionNews(now time.Time) bool {
+	return e.completion.isNews(now) || !e.completion.at.IsZero() && now.Sub(e.refutedAt) < reportPeriod
+}
+
+// repeatedCrashes returns the crashes that show best that the request crashes upstreams: those
+// of incarnations that have ended, and then the latest ones.
+func (e *requestEntry) repeatedCrashes(fingerprint Fingerprint, now time.Time) []Crash {
+	crashes := make([]Crash, 0, len(e.crashes))
+	for incarnation, crash := range e.crashes {
+		crashes = append(crashes, Crash{Fingerprint: fingerprint, Incarnation: incarnation, Age: now.Sub(crash.at), HasEnded: crash.hasEnded})
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int {
+		if a.HasEnded != b.HasEnded {
+			if a.HasEnded {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.Age, b.Age)
+	})
+	return crashes[:min(len(crashes), maxRepeatedCrashes)]
+}
+
 // ownCrashes returns the crashes that this instance has seen, if one of them is news.
 func (e *requestEntry) ownCrashes(fingerprint Fingerprint, now time.Time) []Crash {
 	var crashes []Crash
@@ -215,7 +294,10 @@
 	if !crash.at.After(e.completion.at) {
 		return
 	}
-	if now.Sub(e.latest) > crashRetention || len(e.crashes) >= maxCrashes {
+	if len(e.crashes) == 0 {
+		e.latest = crash.at
+	}
+	if crash.at.Sub(e.latest) > crashRetention || len(e.crashes) >= maxCrashes {
 		clear(e.crashes)
 	}
 	if known, isKnown := e.crashes[incarnation]; isKnown {
--- a/state/quarantiner/quarantiner_test.go
+++ b/state/quarantiner/quarantiner_test.go
@@ -151,6 +151,72 @@
 		Expect(here.IsQuarantined(1, now.Add(6*time.Second))).To(BeTrue())
 	})
 
+	// Guards against instances that were restarted, or cut off, and send a request on that all
+	// others refuse.
+	It("tells an instance that starts later of quarantined requests, also if it was told itself", func() {
+		fleet := []*quarantiner.Quarantiner{quarantiner.New(), quarantiner.New()}
+		for incarnation := range quarantiner.Incarnation(6) {
+			fleet[0].RecordCrash(1, incarnation, now)
+			fleet[0].RecordEnd(1, incarnation, now)
+			fleet[0].RecordCrash(2, 100+incarnation, now)
+		}
+		fleet[0].RecordCrash(3, 200, now)
+		for restart := range 5 {
+			at := now.Add(time.Duration(10*(restart+1)) * time.Second)
+			report := fleet[restart%2].Repeat(64, at)
+			fleet[1-restart%2] = quarantiner.New()
+			fleet[1-restart%2].Merge(&report, at)
+			Expect(fleet[1-restart%2].IsQuarantined(1, at)).To(BeTrue())
+			Expect(fleet[1-restart%2].IsQuarantined(2, at)).To(BeTrue())
+			Expect(fleet[1-restart%2].IsQuarantined(3, at)).To(BeFalse())
+			news := fleet[1-restart%2].Report(8, at)
+			Expect(news.IsEmpty()).To(BeTrue())
+		}
+		Expect(fleet[1].IsQuarantined(1, now.Add(61*time.Second))).To(BeFalse(), "a repetition is no new crash")
+	})
+
+	It("repeats a quarantined request once for all instances, and no more than a limit", func() {
+		here, there := quarantiner.New(), quarantiner.New()
+		for request := range quarantiner.Fingerprint(20) {
+			for incarnation := range quarantiner.Incarnation(4) {
+				here.RecordCrash(request, 10*quarantiner.Incarnation(request)+incarnation, now)
+			}
+		}
+		heard := make(map[quarantiner.Fingerprint]bool)
+		for len(heard) < 20 {
+			report := here.Repeat(16, now)
+			Expect(report.Quarantined).To(HaveLen(16))
+			there.Merge(&report, now)
+			for _, crash := range report.Quarantined {
+				heard[crash.Fingerprint] = true
+			}
+		}
+		for _, q := range []*quarantiner.Quarantiner{here, there} {
+			early := q.Repeat(16, now.Add(500*time.Millisecond))
+			Expect(early.IsEmpty()).To(BeTrue())
+		}
+		later := there.Repeat(16, now.Add(2*time.Second))
+		Expect(later.Quarantined).To(HaveLen(16))
+	})
+
+	// Guards against refusing a sound request for long since an instance has missed that it
+	// completed, and goes on to repeat its crashes.
+	It("releases a request at an instance that has missed its completion", func() {
+		here, there := quarantiner.New(), quarantiner.New()
+		here.RecordCrash(1, 10, now)
+		here.RecordCrash(1, 20, now)
+		crashes := here.Report(8, now)
+		there.Merge(&crashes, now)
+		there.RecordCompletion(1, 30, now.Add(time.Second))
+		late := now.Add(20 * time.Second)
+		crashes = here.Repeat(64, late)
+		there.Merge(&crashes, late)
+		Expect(there.IsQuarantined(1, late)).To(BeFalse())
+		completions := there.Report(8, late)
+		here.Merge(&completions, late)
+		Expect(here.IsQuarantined(1, late)).To(BeFalse())
+	})
+
 	// Guards against a request that crashes engines for as long as it comes: the operators
 	// allow it three engines more after 3 s.
 	It("refuses a request that ends engines soon, although each had lost a response before", func() {
