Do not blame equal requests for crashes that a prompt part explains

Callers saw: sound requests with equal bodies that ran beside requests with a crashing prompt part get 503 request_crashes_upstreams for 60 s after the last crash, although the part is known and refused.

Cause: whole requests are counted by the ends of engines that ran them, whatever is known of those ends. Class: blame of what stood beside the cause.

Change: an end that a quarantined part explains counts only against requests that have the part. A whole request that crashes engines and whose common part is blamed for it stays refused by itself.

--- a/daemon/hosted/hosted.go
+++ b/daemon/hosted/hosted.go
@@ -179,7 +179,6 @@
 		loadChanged:       make(chan struct{}, 1),
 		partsChanged:      make(chan struct{}, 1),
 		rateLimitsChanged: make(chan struct{}, 1),
-		quarantiner:       quarantiner.New(),
 
 		placementQueue: newPlacementQueue(),
 		demand:         newDemandMeter(time.Now),
@@ -195,6 +194,11 @@
 	}
 	i.aborted, i.abort = context.WithCancel(context.Background())
 	i.parts = quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() { signal(i.partsChanged) }, OnChange: i.logPart, OnTrial: i.logPartTrial})
+	i.quarantiner = quarantiner.New(quarantiner.Config{
+		IsExplained: func(incarnation quarantiner.Incarnation, fingerprint quarantiner.Fingerprint) bool {
+			return i.parts.Explains(uint64(incarnation), uint64(fingerprint))
+		},
+	})
 	i.throttler = throttler.New(throttler.Config{
 		IsRegistered: i.isRegistered, OnNews: func() { signal(i.rateLimitsChanged) }, OnChange: i.logRateLimit,
 	})
--- a/integration/hosted_crash_test.go
+++ b/integration/hosted_crash_test.go
@@ -241,7 +241,7 @@
 
 	// Guards against refusing all requests with a common part, and thereby all that could clear
 	// it, since requests with it ran beside those that ended the engine.
-	It("are told from sound requests that ran beside them at the only engine with their model", func() {
+	DescribeTable("are told from sound requests that ran beside them at the only engine with their model", func(soundRequest func(int) platformtest.Request) {
 		f, _ := startSlowEngine(func(execution platformtest.Execution) platformtest.Behaviour {
 			if execution.HasPromptPart(crashingPart) {
 				return platformtest.EndEngine
@@ -250,7 +250,7 @@
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		sound := f.startFlood(ctx, 120*time.Millisecond, sessionRequest)
+		sound := f.startFlood(ctx, 120*time.Millisecond, soundRequest)
 		time.Sleep(2 * time.Second)
 		poison := f.startFlood(ctx, 100*time.Millisecond, func(number int) platformtest.Request {
 			return platformtest.Request{
@@ -266,7 +266,10 @@
 		sent, served := sound.served(fifth.Add(2 * stableTime))
 		Expect(sent).To(BeNumerically(">=", 20))
 		Expect(served).To(BeNumerically(">=", sent/2))
-	})
+	},
+		Entry("in many sessions", sessionRequest),
+		Entry("with equal bodies", func(int) platformtest.Request { return sessionRequest(0) }),
+	)
 
 	// Guards against refusing sound requests for good after the only engine with their model has
 	// ended three times by itself.
--- a/protocol/proxy/endless_body_test.go
+++ b/protocol/proxy/endless_body_test.go
@@ -207,7 +207,7 @@
 			RetryRatio: 0.2, Window: 10 * time.Second, Instances: func() int { return 1 }, StartTime: time.Now(),
 		}),
 		Hedger:      hedger.New(hedger.Config{}),
-		Quarantiner: quarantiner.New(), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}, OnTrial: func(quarantiner.Part) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
+		Quarantiner: quarantiner.New(quarantiner.Config{}), Parts: quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}, OnTrial: func(quarantiner.Part) {}}), HasEnded: func(context.Context, *catalog.Upstream) bool { return true }, Sender: sender,
 		Origins:            unknownOrigins{},
 		ConfirmIncarnation: func(context.Context, *catalog.Upstream) error { return nil },
 		Estimator:          estimator.New(),
--- a/state/quarantiner/parts.go
+++ b/state/quarantiner/parts.go
@@ -141,7 +141,9 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.add(s, maxReports, now)
+	if q.add(s, maxReports, now) {
+		q.reconsider(now)
+	}
 	q.config.OnNews()
 }
 
@@ -174,6 +176,25 @@
 	return false
 }
 
+// Explains reports whether a quarantined part is the cause of a crash, and not a request that ran
+// then and has no such part.
+func (q *PartQuarantiner) Explains(crash, request uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	isExplained := false
+	for i := range q.suspicions {
+		s := &q.suspicions[i]
+		if s.Crash != crash || !q.hasQuarantined(s.Parts) {
+			continue
+		}
+		if s.Request == request {
+			return false
+		}
+		isExplained = true
+	}
+	return isExplained
+}
+
 // Merge applies a peer's report.
 func (q *PartQuarantiner) Merge(report *PartReport, now time.Time) {
 	if report.IsEmpty() {
@@ -185,11 +206,12 @@
 	for _, part := range report.Sound {
 		q.clear(part, now)
 	}
-	if wasQuarantined {
-		q.reconsider(now)
-	}
+	hasNew := false
 	for _, s := range report.Suspicions {
-		q.add(s, 0, now)
+		hasNew = q.add(s, 0, now) || hasNew
+	}
+	if hasNew || wasQuarantined {
+		q.reconsider(now)
 	}
 	for _, part := range report.Quarantined {
 		if q.completedWithin(part.Part, reportPeriod, now) {
@@ -271,20 +293,19 @@
 	return parts
 }
 
-// add records a suspicion unless it is known, and reconsiders which parts crash upstreams.
-// The caller must lock mu.
-func (q *PartQuarantiner) add(s Suspicion, reports int, now time.Time) {
+// add records a suspicion, and reports whether it is new. The caller must lock mu.
+func (q *PartQuarantiner) add(s Suspicion, reports int, now time.Time) bool {
 	at := now.Add(-s.Age)
 	q.suspicions = slices.DeleteFunc(q.suspicions, func(known suspicion) bool { return now.Sub(known.at) > suspicionRetention })
 	isKnown := slices.ContainsFunc(q.suspicions, func(known suspicion) bool { return known.Crash == s.Crash && known.Request == s.Request })
 	if isKnown || len(s.Parts) == 0 {
-		return
+		return false
 	}
 	if len(q.suspicions) >= maxSuspicions {
 		q.suspicions = q.suspicions[1:]
 	}
 	q.suspicions = append(q.suspicions, suspicion{Suspicion: s, at: at, reportsLeft: reports})
-	q.reconsider(now)
+	return true
 }
 
 // reconsider quarantines the parts that explain the crashes best, and releases those whose
--- a/state/quarantiner/quarantiner.go
+++ b/state/quarantiner/quarantiner.go
@@ -105,18 +105,28 @@
 	isFaulty bool
 }
 
+// Config configures a Quarantiner.
+type Config struct {
+	// IsExplained reports whether something is known to have crashed an incarnation that a
+	// request, which ran there too, does not have. It must not block. Nothing is explained if
+	// it is nil.
+	IsExplained func(Incarnation, Fingerprint) bool
+}
+
 // Quarantiner finds requests that crash upstreams, whichever upstream runs them. Failures of
 // an upstream that lives on and fails at other work too say nothing about a request. A
 // request that has completed does not crash upstreams. It is safe for concurrent use.
 type Quarantiner struct {
+	config Config
+
 	mu           sync.Mutex
 	requests     map[Fingerprint]*requestEntry
 	incarnations map[Incarnation]*incarnationEntry
 }
 
 // New returns a quarantiner without any crashes.
-func New() *Quarantiner {
-	return &Quarantiner{requests: make(map[Fingerprint]*requestEntry), incarnations: make(map[Incarnation]*incarnationEntry)}
+func New(config Config) *Quarantiner {
+	return &Quarantiner{config: config, requests: make(map[Fingerprint]*requestEntry), incarnations: make(map[Incarnation]*incarnationEntry)}
 }
 
 // RecordCrash records an upstream that crashed or closed the connection while it
@@ -152,18 +162,19 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.requests[fingerprint]
-	return e != nil && q.isQuarantined(e, now)
+	return e != nil && q.isQuarantined(fingerprint, e, now)
 }
 
 // isQuarantined reports whether the crashes of a request suffice to refuse it. The caller must
 // lock mu.
-func (q *Quarantiner) isQuarantined(e *requestEntry, now time.Time) bool {
+func (q *Quarantiner) isQuarantined(fingerprint Fingerprint, e *requestEntry, now time.Time) bool {
 	if now.Sub(e.latest) > crashRetention {
 		return false
 	}
 	ended, sound, faulty := 0, 0, 0
 	for incarnation, crash := range e.crashes {
 		switch known := q.incarnations[incarnation]; {
+		case q.config.IsExplained != nil && q.config.IsExplained(incarnation, fingerprint):
 		case crash.hasEnded:
 			ended++
 		case known == nil || !known.isFaulty || now.Sub(known.latest) > crashRetention:
@@ -235,7 +246,7 @@
 	defer q.mu.Unlock()
 	var report RequestReport
 	for fingerprint, e := range q.requests {
-		if now.Sub(e.repeatedAt) < repeatPeriod || !q.isQuarantined(e, now) {
+		if now.Sub(e.repeatedAt) < repeatPeriod || !q.isQuarantined(fingerprint, e, now) {
 			continue
 		}
 		crashes := e.repeatedCrashes(fingerprint, now)
--- a/state/quarantiner/quarantiner_test.go
+++ b/state/quarantiner/quarantiner_test.go
@@ -21,7 +21,7 @@
 	now := time.Unix(1000, 0)
 
 	It("adds the crashes of all instances, however often they are reported", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		here.RecordCrash(1, 10, now)
 		there.RecordCrash(1, 20, now)
 		for range 3 {
@@ -40,7 +40,7 @@
 	})
 
 	It("forgets a crash after the retention time", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		s.RecordCrash(1, 10, now)
 		s.RecordCrash(1, 20, now)
 		Expect(s.IsQuarantined(1, now)).To(BeTrue())
@@ -48,7 +48,7 @@
 	})
 
 	It("reports only recent crashes, up to a limit", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		for i := range 20 {
 			s.RecordCrash(quarantiner.Fingerprint(i), 10, now)
 		}
@@ -58,7 +58,7 @@
 	})
 
 	It("bounds its memory while requests keep crashing upstreams", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		for i := range 20000 {
 			s.RecordCrash(quarantiner.Fingerprint(i), quarantiner.Incarnation(i), now)
 		}
@@ -69,7 +69,7 @@
 
 	// Guards against engines that crash one after the other and restart at once.
 	It("finds a request that crashes each engine, although other requests end with it", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		for crash := range 2 {
 			incarnation, at := quarantiner.Incarnation(crash), now.Add(time.Duration(crash)*3*time.Second)
 			for other := range 6 {
@@ -83,7 +83,7 @@
 
 	// Guards against refusing a sound request because of an engine that fails at all work.
 	It("does not blame a request for engines that fail at other requests too", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		for incarnation := range quarantiner.Incarnation(2) {
 			s.RecordCrash(2, incarnation, now)
 			s.RecordCrash(1, incarnation, now.Add(3*time.Second))
@@ -99,7 +99,7 @@
 
 	// Guards against evidence that is dropped since the engine failed at other requests too.
 	It("counts engines that have ended, whatever else they failed at", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		for incarnation := range quarantiner.Incarnation(2) {
 			there.RecordCrash(2, incarnation, now)
 			there.RecordCrash(1, incarnation, now.Add(5*time.Second))
@@ -115,8 +115,33 @@
 		Expect(there.IsQuarantined(1, now.Add(9*time.Second))).To(BeTrue())
 	})
 
+	// Guards against refusing requests with an equal body that ran beside requests of which a
+	// prompt part crashes engines.
+	It("does not blame a request for engines that something else has ended", func() {
+		parts := quarantiner.NewParts(quarantiner.PartsConfig{OnNews: func() {}, OnChange: func(quarantiner.Part, bool) {}, OnTrial: func(quarantiner.Part) {}})
+		s := quarantiner.New(quarantiner.Config{IsExplained: func(incarnation quarantiner.Incarnation, fingerprint quarantiner.Fingerprint) bool {
+			return parts.Explains(uint64(incarnation), uint64(fingerprint))
+		}})
+		for incarnation := range quarantiner.Incarnation(3) {
+			at := now.Add(time.Duration(incarnation) * time.Second)
+			for request, part := range map[quarantiner.Fingerprint]quarantiner.Part{1: 7, 2: 8, 100 + quarantiner.Fingerprint(incarnation): 8} {
+				s.RecordCrash(request, incarnation, at)
+				s.RecordEnd(request, incarnation, at)
+				parts.RecordCrash(quarantiner.Suspicion{Crash: uint64(incarnation), Request: uint64(request), Parts: []quarantiner.Part{part}}, at)
+			}
+		}
+		Expect(parts.IsQuarantined([]quarantiner.Part{8}, now.Add(2*time.Second))).To(BeTrue())
+		Expect(s.IsQuarantined(1, now.Add(2*time.Second))).To(BeFalse())
+		Expect(s.IsQuarantined(2, now.Add(2*time.Second))).To(BeTrue())
+		for incarnation := range quarantiner.Incarnation(2) {
+			s.RecordCrash(1, 10+incarnation, now)
+			s.RecordEnd(1, 10+incarnation, now)
+		}
+		Expect(s.IsQuarantined(1, now)).To(BeTrue())
+	})
+
 	It("forgets that an engine failed", func() {
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		for incarnation := range quarantiner.Incarnation(2) {
 			s.RecordCrash(2, incarnation, now)
 			s.RecordCrash(1, incarnation, now.Add(time.Hour))
@@ -126,7 +151,7 @@
 
 	// Guards against reports of a crash that come late, and are taken for several crashes.
 	It("takes reports that come again for one crash", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		for incarnation := range quarantiner.Incarnation(2) {
 			there.RecordCrash(1, incarnation, now)
 			there.RecordCrash(100+quarantiner.Fingerprint(incarnation), incarnation, now)
@@ -139,7 +164,7 @@
 	})
 
 	It("reports all crashes of a request with news, those of the most suspected requests first", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		there.RecordCrash(1, 10, now)
 		there.RecordCrash(1, 20, now.Add(6*time.Second))
 		for other := range quarantiner.Fingerprint(100) {
@@ -154,7 +179,7 @@
 	// Guards against instances that were restarted, or cut off, and send a request on that all
 	// others refuse.
 	It("tells an instance that starts later of quarantined requests, also if it was told itself", func() {
-		fleet := []*quarantiner.Quarantiner{quarantiner.New(), quarantiner.New()}
+		fleet := []*quarantiner.Quarantiner{quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})}
 		for incarnation := range quarantiner.Incarnation(6) {
 			fleet[0].RecordCrash(1, incarnation, now)
 			fleet[0].RecordEnd(1, incarnation, now)
@@ -164,7 +189,7 @@
 		for restart := range 5 {
 			at := now.Add(time.Duration(10*(restart+1)) * time.Second)
 			report := fleet[restart%2].Repeat(64, at)
-			fleet[1-restart%2] = quarantiner.New()
+			fleet[1-restart%2] = quarantiner.New(quarantiner.Config{})
 			fleet[1-restart%2].Merge(&report, at)
 			Expect(fleet[1-restart%2].IsQuarantined(1, at)).To(BeTrue())
 			Expect(fleet[1-restart%2].IsQuarantined(2, at)).To(BeTrue())
@@ -176,7 +201,7 @@
 	})
 
 	It("repeats a quarantined request once for all instances, and no more than a limit", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		for request := range quarantiner.Fingerprint(20) {
 			for incarnation := range quarantiner.Incarnation(4) {
 				here.RecordCrash(request, 10*quarantiner.Incarnation(request)+incarnation, now)
@@ -202,7 +227,7 @@
 	// Guards against refusing a sound request for long since an instance has missed that it
 	// completed, and goes on to repeat its crashes.
 	It("releases a request at an instance that has missed its completion", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		here.RecordCrash(1, 10, now)
 		here.RecordCrash(1, 20, now)
 		crashes := here.Report(8, now)
@@ -231,7 +256,7 @@
 
 	// Guards against refusing a sound request for long after a wrong decision.
 	It("releases a request on all instances once an engine has completed it", func() {
-		here, there := quarantiner.New(), quarantiner.New()
+		here, there := quarantiner.New(quarantiner.Config{}), quarantiner.New(quarantiner.Config{})
 		here.RecordCrash(1, 10, now)
 		here.RecordCrash(1, 20, now)
 		crashes := here.Report(8, now)
@@ -253,7 +278,7 @@
 	// engine of three answers with garbage.
 	It("refuses no request of a load that sound engines complete", func() {
 		const perSecond, seconds, engines = 60, 11, 3
-		s := quarantiner.New()
+		s := quarantiner.New(quarantiner.Config{})
 		refused, failed := 0, 0
 		for n := range perSecond * seconds {
 			at := now.Add(time.Duration(n) * time.Second / perSecond)
@@ -289,7 +314,7 @@
 	start := time.Unix(1000, 0)
 	quarantiners := make([]*quarantiner.Quarantiner, instances)
 	for i := range quarantiners {
-		quarantiners[i] = quarantiner.New()
+		quarantiners[i] = quarantiner.New(quarantiner.Config{})
 	}
 	var incarnations [engines]quarantiner.Incarnation
 	var backAt [engines]time.Duration
