Spare the repetitions work for what cannot be quarantined

The repetition of quarantined requests asked for each failure whether a prompt part explains it, and pins were ranked each 250 ms without any pin. Both return early now.

--- a/daemon/hosted/origins.go
+++ b/daemon/hosted/origins.go
@@ -123,6 +123,9 @@
 // started, stopped or fallen silent. Instances that hold a pin do so too, since the one that
 // has served the stream may have ended.
 func (o *streamOrigins) retell() {
+	if o.pinner.Len() == 0 {
+		return
+	}
 	told, ranking := o.toldRanking, o.currentRanking()
 	o.toldRanking = ranking
 	if told.hasSamePeers(ranking) {
--- a/state/quarantiner/quarantiner.go
+++ b/state/quarantiner/quarantiner.go
@@ -168,7 +168,7 @@
 // isQuarantined reports whether the crashes of a request suffice to refuse it. The caller must
 // lock mu.
 func (q *Quarantiner) isQuarantined(fingerprint Fingerprint, e *requestEntry, now time.Time) bool {
-	if now.Sub(e.latest) > crashRetention {
+	if len(e.crashes) < crashLimit || now.Sub(e.latest) > crashRetention {
 		return false
 	}
 	ended, sound, faulty := 0, 0, 0
