--- a/protocol/executor/parts.go
+++ b/protocol/executor/parts.go
@@ -49,8 +49,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, event := range state.PartEventsSince(t.nextOffset) {
-		report := t.partReport(event, now)
-		t.parts.Merge(&report, now)
+		t.merge(event, now)
 	}
 	t.nextOffset = max(t.nextOffset, state.NextOffset())
 	return t.parts.IsQuarantined(parts, now)
@@ -94,8 +93,19 @@
 	return id
 }
 
+// merge applies an event of the log as of its own time, so that an instance that starts
+// concludes the same from old events as the others did. The caller must lock mu.
+func (t *partTracker) merge(event crocushollow.SuspectEvent, now time.Time) {
+	at := time.UnixMilli(event.At)
+	if at.After(now) {
+		at = now
+	}
+	report := t.partReport(event)
+	t.parts.Merge(&report, at)
+}
+
 // partReport converts an event of the log. The caller must lock mu.
-func (t *partTracker) partReport(event crocushollow.SuspectEvent, now time.Time) quarantiner.PartReport {
+func (t *partTracker) partReport(event crocushollow.SuspectEvent) quarantiner.PartReport {
 	parts := toParts(event.Parts)
 	if event.Kind == crocushollow.ClearedEvent {
 		return quarantiner.PartReport{Sound: parts}
@@ -104,7 +114,6 @@
 		Crash:   t.crashID(&event),
 		Request: binary.BigEndian.Uint64(event.Fingerprint[:]),
 		Parts:   parts,
-		Age:     max(now.Sub(time.UnixMilli(event.At)), 0),
 	}}}
 }
 
--- a/protocol/executor/parts_test.go
+++ b/protocol/executor/parts_test.go
@@ -20,8 +20,7 @@
 	fail := func(at time.Time, parts ...uint64) {
 		attempt++
 		event := crocushollow.SuspectEvent{Kind: crocushollow.CrashEvent, Upstream: "engine", Attempt: crocushollow.ID{attempt}, Fingerprint: crocushollow.Digest{attempt}}
-		report := tracker.partReport(event.WithParts(parts, at), time.Now())
-		tracker.parts.Merge(&report, time.Now())
+		tracker.merge(event.WithParts(parts, at), time.Now())
 	}
 	for crash := range 3 {
 		at := start.Add(time.Duration(crash) * 4 * time.Second)
@@ -35,3 +34,18 @@
 		t.Error("a common message is quarantined")
 	}
 }
+
+// Guards against an instance that starts later and runs requests that all others refuse.
+func TestMessagesAreRefusedForCrashesBeforeTheStart(t *testing.T) {
+	const crasher = 2
+	tracker := newPartTracker(zerolog.Nop())
+	for crash := range byte(3) {
+		event := crocushollow.SuspectEvent{
+			Kind: crocushollow.CrashEvent, Upstream: "engine", Attempt: crocushollow.ID{crash + 1}, Fingerprint: crocushollow.Digest{crash + 1},
+		}
+		tracker.merge(event.WithParts([]uint64{crasher}, time.Now().Add(time.Duration(crash)*4*time.Second-2*time.Minute)), time.Now())
+	}
+	if !tracker.parts.IsQuarantined([]quarantiner.Part{crasher}, time.Now()) {
+		t.Error("a message that crashed upstreams two minutes ago is not quarantined")
+	}
+}
--- a/state/applier/applier_test.go
+++ b/state/applier/applier_test.go
@@ -116,6 +116,13 @@
 		Expect(events[255].Parts).To(Equal([]uint64{299}))
 		Expect(r.state.PartEventsSince(r.state.NextOffset() - 2)).To(HaveLen(2))
 		Expect(r.state.PartEventsSince(r.state.NextOffset())).To(BeEmpty())
+		// Guards against instances that start from a snapshot and run requests with a message
+		// that all others refuse.
+		encoded, err := r.state.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		restored, err := applier.DecodeState(encoded)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(restored.PartEventsSince(start)).To(Equal(events))
 	})
 
 	It("continues after a batch that cannot be decoded", func() {
--- a/state/applier/snapshot.go
+++ b/state/applier/snapshot.go
@@ -25,6 +25,7 @@
 	Calls       []snapshotCall                 `json:"calls"`
 	Records     []crocushollow.ID              `json:"records"`
 	Suspects    []crocushollow.SuspectRequest  `json:"suspects"`
+	PartEvents  []snapshotPartEvent            `json:"part_events,omitempty"`
 }
 
 type snapshotRow struct {
@@ -43,6 +44,11 @@
 	Response *crocushollow.StoredResponse `json:"answer,omitempty"`
 }
 
+type snapshotPartEvent struct {
+	Offset uint64                    `json:"offset"`
+	Event  crocushollow.SuspectEvent `json:"event"`
+}
+
 // Encode returns the encoded state.
 func (s *State) Encode() ([]byte, error) {
 	data := snapshotData{
@@ -76,6 +82,10 @@
 			data.Suspects = append(data.Suspects, suspect)
 		}
 	}
+	for itr := s.partEvents.Iterator(); !itr.Done(); {
+		_, known := itr.Next()
+		data.PartEvents = append(data.PartEvents, snapshotPartEvent{Offset: known.offset, Event: known.event})
+	}
 	for itr := s.recordOrder.Iterator(); !itr.Done(); {
 		_, id := itr.Next()
 		data.Records = append(data.Records, id)
@@ -150,6 +160,9 @@
 			s.suspectOrder = s.suspectOrder.Append(string(suspect.Crashes[0].Fingerprint[:]))
 		}
 	}
+	for _, known := range data.PartEvents {
+		s.partEvents = s.partEvents.Append(partEvent{offset: known.Offset, event: known.Event})
+	}
 	for _, id := range data.Records {
 		s.addRecordID(id)
 	}
--- a/state/applier/state.go
+++ b/state/applier/state.go
@@ -60,8 +60,7 @@
 	suspects *immutable.Map[string, crocushollow.SuspectRequest]
 	// suspectOrder lists the fingerprints of suspects, oldest first.
 	suspectOrder *immutable.List[string]
-	// partEvents holds the latest events with prompt parts, oldest first. Snapshots do
-	// not include them, since they matter only for a short time.
+	// partEvents holds the latest events with prompt parts, oldest first.
 	partEvents *immutable.List[partEvent]
 	// explained holds the upstreams whose crash a likely cause explains.
 	explained *immutable.Map[string, struct{}]
--- a/state/quarantiner/parts.go
+++ b/state/quarantiner/parts.go
@@ -354,7 +354,9 @@
 		wasSuspected = wasSuspected || q.suspicions[i].at.After(known.at) && slices.Contains(q.suspicions[i].Parts, part)
 	}
 	known.count++
-	known.at = now
+	if now.After(known.at) {
+		known.at = now
+	}
 	q.completions[part] = known
 	return wasSuspected
 }
