Spread the claims of trials over a second

All instances of a fleet would claim the trial of a quarantined part at the same moment: at the target size 630 claims, three times each, to 630 instances, more than an aggregator's queue relays (256), so that several could take a trial. By reading, not shown. Each instance adds a delay of its own, up to 1 s.

Test, failing before: state/quarantiner 'spreads the claims of instances' (100 of 100 open at once by the constant, expected about 50).

--- a/state/quarantiner/trial.go
+++ b/state/quarantiner/trial.go
@@ -18,6 +18,9 @@
 	trialDelay      = time.Second
 	firstTrialDelay = 2 * time.Minute
 	trialInterval   = 5 * time.Second
+	// claimSpread is the time over which the instances of a fleet spread their claims, so that
+	// most of them hear of another one's before their own is due.
+	claimSpread = time.Second
 	// maxTrials bounds the trials of a part with which requests have completed before, and
 	// maxFirstTrials those of any other part.
 	maxTrials      = 2
@@ -115,6 +118,7 @@
 	if q.completions[part].count > 0 {
 		delay, limit = trialDelay, maxTrials
 	}
+	delay += time.Duration(q.claimant % uint64(claimSpread))
 	return known.trials < limit && now.Sub(known.since) >= delay && (known.trials == 0 || now.Sub(known.triedAt) >= trialInterval)
 }
 
