Write the tests of the executor's parts as specs

The two tests are specs now, as strict; both fail with the two changes of the product taken back, and pass with the flag and the race detector.

--- a/protocol/executor/parts_test.go
+++ b/protocol/executor/parts_test.go
@@ -4,48 +4,52 @@
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
 	"github.com/crocushollow/crocushollow"
 	"github.com/crocushollow/crocushollow/state/quarantiner"
 )
 
-// Guards against blaming a message that all requests have for the crashes of upstreams that
-// another message explains, since each failed attempt counts as a crash of its own.
-func TestAttemptsThatMeetTheSameCrashShareIt(t *testing.T) {
-	const common, crasher = 1, 2
-	tracker := newPartTracker(zerolog.Nop())
-	start := time.Now().Add(-20 * time.Second)
-	attempt := byte(0)
-	fail := func(at time.Time, parts ...uint64) {
-		attempt++
-		event := crocushollow.SuspectEvent{Kind: crocushollow.CrashEvent, Upstream: "engine", Attempt: crocushollow.ID{attempt}, Fingerprint: crocushollow.Digest{attempt}}
-		tracker.merge(event.WithParts(parts, at), time.Now())
-	}
-	for crash := range 3 {
-		at := start.Add(time.Duration(crash) * 4 * time.Second)
-		fail(at.Add(20*time.Millisecond), common, 10+uint64(crash))
-		fail(at, common, crasher)
-	}
-	if !tracker.parts.IsQuarantined([]quarantiner.Part{crasher}, time.Now()) {
-		t.Error("the message that crashes upstreams is not quarantined")
-	}
-	if tracker.parts.IsQuarantined([]quarantiner.Part{common}, time.Now()) {
-		t.Error("a common message is quarantined")
-	}
+func TestExecutor(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "executor")
 }
 
-// Guards against an instance that starts later and runs requests that all others refuse.
-func TestMessagesAreRefusedForCrashesBeforeTheStart(t *testing.T) {
-	const crasher = 2
-	tracker := newPartTracker(zerolog.Nop())
-	for crash := range byte(3) {
+var _ = Describe("partTracker", func() {
+	const common, crasher = 1, 2
+	// fail returns the event of an attempt that has failed at an upstream.
+	fail := func(attempt byte, at time.Time, parts ...uint64) crocushollow.SuspectEvent {
 		event := crocushollow.SuspectEvent{
-			Kind: crocushollow.CrashEvent, Upstream: "engine", Attempt: crocushollow.ID{crash + 1}, Fingerprint: crocushollow.Digest{crash + 1},
+			Kind: crocushollow.CrashEvent, Upstream: "engine", Attempt: crocushollow.ID{attempt}, Fingerprint: crocushollow.Digest{attempt},
 		}
-		tracker.merge(event.WithParts([]uint64{crasher}, time.Now().Add(time.Duration(crash)*4*time.Second-2*time.Minute)), time.Now())
+		return event.WithParts(parts, at)
 	}
-	if !tracker.parts.IsQuarantined([]quarantiner.Part{crasher}, time.Now()) {
-		t.Error("a message that crashed upstreams two minutes ago is not quarantined")
+	isQuarantined := func(tracker *partTracker, part quarantiner.Part) bool {
+		return tracker.parts.IsQuarantined([]quarantiner.Part{part}, time.Now())
 	}
-}
+
+	// Guards against blaming a message that all requests have for the crashes of upstreams that
+	// another message explains, since each failed attempt counts as a crash of its own.
+	It("takes attempts that fail at an upstream together for one crash", func() {
+		tracker := newPartTracker(zerolog.Nop())
+		for crash := range byte(3) {
+			at := time.Now().Add(time.Duration(crash)*4*time.Second - 20*time.Second)
+			tracker.merge(fail(2*crash+1, at.Add(20*time.Millisecond), common, 10+uint64(crash)), time.Now())
+			tracker.merge(fail(2*crash+2, at, common, crasher), time.Now())
+		}
+		Expect(isQuarantined(tracker, crasher)).To(BeTrue())
+		Expect(isQuarantined(tracker, common)).To(BeFalse())
+	})
+
+	// Guards against an instance that starts later and runs requests that all others refuse.
+	It("refuses messages for crashes of some time before the start", func() {
+		tracker := newPartTracker(zerolog.Nop())
+		for crash := range byte(3) {
+			at := time.Now().Add(time.Duration(crash)*4*time.Second - 2*time.Minute)
+			tracker.merge(fail(crash+1, at, crasher), time.Now())
+		}
+		Expect(isQuarantined(tracker, crasher)).To(BeTrue())
+	})
+})
