List that a trial's success may stay unknown to the others as known red

An instance that missed the crashes tells nobody when a request with a quarantined part completes there: Report names sound parts of its own suspicions only. The others go on to refuse the part.

--- a/state/quarantiner/parts_test.go
+++ b/state/quarantiner/parts_test.go
@@ -260,6 +260,26 @@
 			Expect(taken).To(Equal(2))
 		})
 
+		// Guards against a trial whose success stays unknown to the others, who then quarantine
+		// the part again, since the instance that took it has not heard of the crashes.
+		It("releases them after a trial at an instance that has missed the crashes", Label("known-red"), func() {
+			fleet := crashedFleet()
+			for now := 8.5; now < 10; now += 0.5 {
+				exchange(fleet, at(now))
+			}
+			started := newParts()
+			fleet = append(fleet, started)
+			exchange(fleet, at(11))
+			Expect(isQuarantined(started, common, at(11))).To(BeTrue())
+			started.RecordCompletion(prompt, at(11))
+			for now := 11.0; now < 20; now++ {
+				exchange(fleet, at(now))
+			}
+			for _, q := range fleet {
+				Expect(isQuarantined(q, common, at(20))).To(BeFalse())
+			}
+		})
+
 		It("takes no trial of a prompt with two quarantined parts", func() {
 			fleet := crashedFleet()
 			fleet[0].Merge(&quarantiner.PartReport{Quarantined: []quarantiner.QuarantinedPart{{Part: rare, Remaining: time.Minute}}}, at(9))
